platform, gateway: serve opaque calls on the users' platform

Cause: nothing of the product ran on the users' machines. The new gateway composes a filter chain (route, team, quarantine, budget) and controllers that follow the platform's log; platform/ translates settings, requests, servers, store and values. Budgets are reservations in a keyed stream, appended only if nobody else appended first.

--- /dev/null
+++ b/core/catalog/catalog.go
@@ -0,0 +1,199 @@
+// Package catalog holds the operator's configuration of a fleet that routes by host and path: routes, services, teams
+// and limits. A catalog is immutable once it is built.
+package catalog
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"ibiswinch/core/call"
+)
+
+// Destination is a service and its weight among the destinations of a route.
+type Destination struct {
+	Service string
+	Weight  float64
+}
+
+// Route says where calls go and how they may be treated.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix       string
+	Kind         call.Kind
+	Destinations []Destination
+	// Attempts is the number of backend servers that may run one call.
+	Attempts int
+	// Timeout is the longest that a caller is kept waiting; Objective is the time to the answer that earns full credit.
+	Timeout   time.Duration
+	Objective time.Duration
+	// Priority is the rank of the route, 0 first.
+	Priority int
+	// Public routes need no key.
+	Public    bool
+	Resumable bool
+	// Sticky routes carry prompts whose parts are worth finding again.
+	Sticky bool
+}
+
+// Repeatable reports whether a call may run again.
+func (r *Route) Repeatable() bool {
+	return r.Kind == call.Idempotent || r.Kind == call.Stream && r.Resumable
+}
+
+// Service is a group of backend servers that do the same work.
+type Service struct {
+	Name string
+	// Connections bounds the connections to one server from all callers.
+	Connections int
+	// HealthPath answers 200 while the server takes work.
+	HealthPath string
+	// Model says that the servers are model engines with this many places and tokens of memory.
+	Places       int
+	MemoryTokens int64
+	// EventTokens is the number of tokens that one event of a stream holds.
+	EventTokens int64
+}
+
+// Team owns keys and a budget.
+type Team struct {
+	Name string
+	Keys []string
+	// Prepaid is the number of tokens that the team may use; Limited is false if there is no limit.
+	Prepaid int64
+	Limited bool
+	// Priority replaces the priority of the route if HasPriority.
+	Priority    int
+	HasPriority bool
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Catalog is one version of the configuration.
+type Catalog struct {
+	Version int64
+	Limits  Limits
+
+	services map[string]*Service
+	teams    map[string]*Team
+	byKey    map[string]*Team
+	byHost   map[string][]*Route
+	hasTeams bool
+}
+
+// Config is what a Catalog is built from.
+type Config struct {
+	Version  int64
+	Routes   []Route
+	Services []Service
+	Teams    []Team
+	Limits   Limits
+	// HasTeams says that calls need a key; without it all routes are public.
+	HasTeams bool
+}
+
+// ErrInvalid is the error of a configuration that fails its checks.
+var ErrInvalid = eris.New("invalid configuration")
+
+// New checks a configuration and indexes it.
+func New(cfg Config) (*Catalog, error) {
+	if cfg.Version <= 0 {
+		return nil, eris.Wrapf(ErrInvalid, "version %d", cfg.Version)
+	}
+	c := &Catalog{
+		Version: cfg.Version, Limits: cfg.Limits, hasTeams: cfg.HasTeams,
+		services: map[string]*Service{}, teams: map[string]*Team{}, byKey: map[string]*Team{}, byHost: map[string][]*Route{},
+	}
+	for _, s := range cfg.Services {
+		c.services[s.Name] = &s
+	}
+	for _, t := range cfg.Teams {
+		c.teams[t.Name] = &t
+		for _, k := range t.Keys {
+			c.byKey[k] = &t
+		}
+	}
+	for _, r := range cfg.Routes {
+		if err := c.addRoute(r); err != nil {
+			return nil, err
+		}
+	}
+	for _, routes := range c.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return c, nil
+}
+
+func (c *Catalog) addRoute(r Route) error {
+	if len(r.Destinations) == 0 {
+		return eris.Wrapf(ErrInvalid, "route %q has no service", r.Name)
+	}
+	r.Host = strings.ToLower(r.Host)
+	r.Attempts = max(r.Attempts, 1)
+	c.byHost[r.Host] = append(c.byHost[r.Host], &r)
+	return nil
+}
+
+// Match returns the route with the longest prefix of the path, nil if there is none.
+func (c *Catalog) Match(host, path string) *Route {
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// NeedsKey reports whether calls on the route need the key of a team.
+func (c *Catalog) NeedsKey(r *Route) bool { return c.hasTeams && !r.Public }
+
+// TeamOf returns the team that holds a key, nil if nobody does.
+func (c *Catalog) TeamOf(key string) *Team { return c.byKey[key] }
+
+// Team returns a team by its name, nil if it is unknown.
+func (c *Catalog) Team(name string) *Team { return c.teams[name] }
+
+// Teams returns the names of all teams, sorted.
+func (c *Catalog) Teams() []string {
+	names := make([]string, 0, len(c.teams))
+	for name := range c.teams {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Service returns a service by its name; unknown services have no bounds.
+func (c *Catalog) Service(name string) Service {
+	if s := c.services[name]; s != nil {
+		return *s
+	}
+	return Service{Name: name}
+}
+
+// Destination picks a service of the route by its weights; u is in [0, 1).
+func (r *Route) Destination(u float64) string {
+	total := 0.0
+	for _, d := range r.Destinations {
+		total += max(d.Weight, 0)
+	}
+	left := u * total
+	for _, d := range r.Destinations {
+		left -= max(d.Weight, 0)
+		if left < 0 {
+			return d.Service
+		}
+	}
+	return r.Destinations[0].Service
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -30,6 +30,9 @@
 	ProcessStopped  = Event{103, Info, "process stopped"}
 	DrainExpired    = Event{104, Warn, "drain deadline passed with requests open"}
 	HandlerPanicked = Event{106, Error, "handler of a request panicked"}
+
+	SettingsReloaded = Event{107, Info, "settings read again"}
+	SettingsRejected = Event{108, Warn, "settings rejected, the last ones stay in use"}
 )
 
 // Platform's log: 200 to 299.
@@ -85,22 +88,46 @@
 	MemoryFull        = Event{706, Warn, "held bytes near the limit, refusing requests"}
 )
 
+// Servers and requests of the gateway: 720 to 799.
+var (
+	ServerSeen     = Event{720, Info, "backend server seen"}
+	ServerGone     = Event{721, Info, "backend server gone"}
+	ServerPaused   = Event{722, Info, "backend server paused"}
+	RequestEnded   = Event{730, Info, "request ended"}
+	RequestRefused = Event{731, Info, "request refused"}
+	AttemptFailed  = Event{732, Info, "attempt failed"}
+	RequestRetried = Event{733, Info, "request sent again"}
+	LinesDropped   = Event{740, Warn, "log lines dropped"}
+)
+
+// Reservations: 420 to 439.
+var (
+	ReservationRaised   = Event{420, Info, "reservation raised"}
+	ReservationReturned = Event{421, Info, "reservation returned"}
+	ReservationFailed   = Event{422, Warn, "reservation not confirmed"}
+	ReservationShort    = Event{423, Info, "reservation too small for a request"}
+)
+
 // Peers: 800 to 899.
 var (
 	PeerUnreachable = Event{800, Debug, "peer unreachable"}
 	PeerRejected    = Event{802, Warn, "peer call rejected"}
+	PeerGone        = Event{803, Info, "entry VM not heard of"}
 )
 
 // All lists the catalogue in the order of its numbers.
 func All() []Event {
 	return []Event{
 		ProcessStarted, ProcessReady, ProcessDraining, ProcessStopped, DrainExpired, HandlerPanicked,
+		SettingsReloaded, SettingsRejected,
 		LogUnavailable, LogAvailable, RecordSkipped, FoldHalted, SnapshotWritten, SnapshotNeeded, AppendRejected,
 		ListUnavailable,
 		ConfigInForce, ConfigFromPeer, ConfigRejected,
 		HolderClosed, HolderSealed, BillHeldLocally, BillsAdopted, BillsFull, BudgetExhausted, DuplicateBill,
+		ReservationRaised, ReservationReturned, ReservationFailed, ReservationShort,
 		OrderUnknown, OrderWithdrawn, ChangeStopped, ChangeTakenBack, ChangeDone,
 		ServerCrashed, StreamResumed, StreamSuspended, RequestFailed, RequestQuarantine, MemoryFull,
-		PeerUnreachable, PeerRejected,
+		ServerSeen, ServerGone, ServerPaused, RequestEnded, RequestRefused, AttemptFailed, RequestRetried, LinesDropped,
+		PeerUnreachable, PeerRejected, PeerGone,
 	}
 }
--- /dev/null
+++ b/core/placement/table.go
@@ -0,0 +1,372 @@
+// Package placement chooses the backend server of a call. All entry VMs rank the servers of a chain of prompt parts the
+// same way without talking to each other, so that a server reads a shared part once for the whole fleet. Nothing here
+// has a clock, a goroutine or I/O.
+package placement
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Server is what a server says of itself.
+type Server struct {
+	ID      string
+	Service string
+	Addr    netip.AddrPort
+	Zone    string
+	Version string
+	Slots   int
+	// Draining servers take nothing new.
+	Draining bool
+	// Born is the start of the server; a server that starts again under its id has another one.
+	Born time.Time
+}
+
+// Request describes a call to the table.
+type Request struct {
+	Service string
+	// Session is the longest shared chain of the prompt, 0 without one. SharedTokens is its length and Tokens that of
+	// the whole prompt.
+	Session      uint64
+	SharedTokens int64
+	Tokens       int64
+	// Excluded servers have failed this call.
+	Excluded []string
+	// Accept filters by version; nil accepts all.
+	Accept func(version string) bool
+}
+
+// Placement is the hold that a call has on a server.
+type Placement struct {
+	Server Server
+	// Rank is the place of the server in the order of the chain, 0 for its first choice.
+	Rank       int
+	Candidates int
+	tokens     int64
+}
+
+// Outcome says how a call ended at a server.
+type Outcome string
+
+// Outcomes.
+const (
+	Answered Outcome = "answered"
+	// Unreachable servers refused the connection or didn't take it.
+	Unreachable Outcome = "unreachable"
+	// Broken servers ended a connection without a whole answer.
+	Broken Outcome = "broken"
+	// Silent servers didn't answer in time.
+	Silent Outcome = "silent"
+	// Failed servers answered with an error of their own.
+	Failed Outcome = "failed"
+	// Full servers said that they did not run the call.
+	Full Outcome = "full"
+	// Misdirected means that another server has the address.
+	Misdirected Outcome = "misdirected"
+	// Abandoned calls were given up by the caller.
+	Abandoned Outcome = "abandoned"
+)
+
+const (
+	// chainTokens is the length of a shared chain from which its place goes before the load.
+	chainTokens = 600
+	// crowdedFactor and crowdedSlack bound the load of the first choice against the mean load.
+	crowdedFactor = 2.0
+	crowdedSlack  = 4
+	// tokensPerPlace weighs the prompt tokens that wait at a server against running calls.
+	tokensPerPlace = 2000
+	// remotePenalty is the load that another zone must be better by.
+	remotePenalty = 1.5
+	// firstPause and maxPause bound how long a failing server gets nothing but a single trial.
+	firstPause = 250 * time.Millisecond
+	maxPause   = 3 * time.Second
+	fullPause  = 60 * time.Millisecond
+	// failureWeight is the weight of one call in the average of failures.
+	failureWeight = 0.15
+	// failingShare is the share of failures, beyond that of the service, from which a server is paused.
+	failingShare = 0.3
+)
+
+type server struct {
+	Server
+	// running counts the calls of this entry VM, waiting the prompt tokens of those without a first event.
+	running int
+	waiting int64
+	// strikes counts failures in a row; the server is paused until the deadline.
+	strikes     int
+	pausedUntil time.Time
+	// failures is the moving average of failed answers.
+	failures float64
+	answers  int
+	// gone servers have another owner of their address.
+	gone bool
+}
+
+func (s *server) load() float64 {
+	return float64(s.running) + float64(s.waiting)/tokensPerPlace
+}
+
+// Table knows the servers of all services. It is not safe for concurrent use.
+type Table struct {
+	zone    string
+	random  *rand.Rand
+	servers map[string]*server
+	// byService is sorted by id.
+	byService map[string][]*server
+	// failures is the moving average of each service.
+	failures map[string]float64
+}
+
+// NewTable returns an empty table for an entry VM in zone.
+func NewTable(zone string, seed uint64) *Table {
+	return &Table{
+		zone: zone, random: rand.New(rand.NewPCG(seed, seed)), servers: map[string]*server{},
+		byService: map[string][]*server{}, failures: map[string]float64{},
+	}
+}
+
+// Set adds or updates a server. It reports whether the server is new or takes calls no more.
+func (t *Table) Set(s Server) bool {
+	old := t.servers[s.ID]
+	if old != nil && old.Service == s.Service && old.Addr == s.Addr && old.Born.Equal(s.Born) {
+		changed := old.Draining != s.Draining
+		old.Server = s
+		return changed
+	}
+	if old != nil {
+		t.Remove(s.ID)
+	}
+	n := &server{Server: s}
+	t.servers[s.ID] = n
+	list := append(t.byService[s.Service], n)
+	slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	t.byService[s.Service] = list
+	return true
+}
+
+// Remove forgets a server and reports whether there was one.
+func (t *Table) Remove(id string) bool {
+	s := t.servers[id]
+	if s == nil {
+		return false
+	}
+	delete(t.servers, id)
+	t.byService[s.Service] = slices.DeleteFunc(t.byService[s.Service], func(o *server) bool { return o == s })
+	return true
+}
+
+// IDs returns the servers that the table knows.
+func (t *Table) IDs() []string {
+	ids := make([]string, 0, len(t.servers))
+	for id := range t.servers {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Versions counts the servers of a service that take calls, by version.
+func (t *Table) Versions(service string) map[string]int {
+	n := map[string]int{}
+	for _, s := range t.byService[service] {
+		if !s.Draining && !s.gone {
+			n[s.Version]++
+		}
+	}
+	return n
+}
+
+// Choose places a call. It reports false if no server takes calls.
+func (t *Table) Choose(now time.Time, r Request) (Placement, bool) {
+	usable := t.usable(now, r)
+	if len(usable) == 0 {
+		return Placement{}, false
+	}
+	var chosen *server
+	rank := 0
+	if r.Session != 0 && r.SharedTokens >= chainTokens {
+		chosen, rank = t.byChain(usable, r.Session)
+	} else {
+		chosen = t.byLoad(usable)
+	}
+	chosen.running++
+	chosen.waiting += r.Tokens
+	if !chosen.pausedUntil.IsZero() {
+		// One trial at a time, until its outcome is known.
+		chosen.pausedUntil = now.Add(chosen.pause())
+	}
+	return Placement{Server: chosen.Server, Rank: rank, Candidates: len(usable), tokens: r.Tokens}, true
+}
+
+// usable lists the servers that may take the call; if all of them are paused, the one whose pause ends first.
+func (t *Table) usable(now time.Time, r Request) []*server {
+	var usable []*server
+	var first *server
+	for _, s := range t.byService[r.Service] {
+		if s.Draining || s.gone || slices.Contains(r.Excluded, s.ID) || r.Accept != nil && !r.Accept(s.Version) {
+			continue
+		}
+		if now.Before(s.pausedUntil) {
+			if first == nil || s.pausedUntil.Before(first.pausedUntil) {
+				first = s
+			}
+			continue
+		}
+		usable = append(usable, s)
+	}
+	if len(usable) == 0 && first != nil {
+		return []*server{first}
+	}
+	return usable
+}
+
+// byChain takes the first server in the order of the chain that isn't crowded.
+func (t *Table) byChain(usable []*server, chain uint64) (*server, int) {
+	mean := 0.0
+	for _, s := range usable {
+		mean += s.load()
+	}
+	mean /= float64(len(usable))
+	bound := mean*crowdedFactor + crowdedSlack
+	var first, second *server
+	var firstScore, secondScore uint64
+	for _, s := range usable {
+		score := chainScore(chain, s.ID)
+		switch {
+		case first == nil || score > firstScore:
+			second, secondScore = first, firstScore
+			first, firstScore = s, score
+		case second == nil || score > secondScore:
+			second, secondScore = s, score
+		}
+	}
+	if first.load() > bound && second != nil && second.load() < first.load() {
+		return second, 1
+	}
+	return first, 0
+}
+
+// chainScore is the weight of rendezvous hashing.
+func chainScore(chain uint64, id string) uint64 {
+	h := chain ^ 0x9e3779b97f4a7c15
+	for i := range len(id) {
+		h = (h ^ uint64(id[i])) * 0x100000001b3
+	}
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// byLoad takes the least loaded server; ties are broken at random. Servers of the own zone are preferred.
+func (t *Table) byLoad(usable []*server) *server {
+	var best *server
+	bestLoad := math.Inf(1)
+	for _, s := range usable {
+		load := s.load() + t.random.Float64()/2
+		if s.Zone != t.zone {
+			load += remotePenalty
+		}
+		if load < bestLoad {
+			best, bestLoad = s, load
+		}
+	}
+	return best
+}
+
+// FirstEvent notes that the prompt of a call has been read.
+func (t *Table) FirstEvent(p *Placement) {
+	if s := t.servers[p.Server.ID]; s != nil {
+		s.waiting -= p.tokens
+	}
+	p.tokens = 0
+}
+
+// Release ends a hold and judges the server by its outcome. It returns the deadline of a pause that begins, or zero.
+func (t *Table) Release(now time.Time, p Placement, o Outcome) time.Time {
+	s := t.servers[p.Server.ID]
+	if s == nil || !s.Born.Equal(p.Server.Born) {
+		return time.Time{}
+	}
+	s.running--
+	s.waiting -= p.tokens
+	before := s.pausedUntil
+	t.judge(now, s, o)
+	if s.pausedUntil.After(now) && !now.Before(before) {
+		return s.pausedUntil
+	}
+	return time.Time{}
+}
+
+func (t *Table) judge(now time.Time, s *server, o Outcome) {
+	switch o {
+	case Answered:
+		t.average(s, 0)
+		s.strikes = 0
+		s.pausedUntil = time.Time{}
+	case Unreachable, Silent:
+		t.strike(now, s)
+	case Broken:
+		t.average(s, 1)
+		t.strike(now, s)
+	case Failed:
+		t.average(s, 1)
+		s.strikes = 0
+		s.pausedUntil = time.Time{}
+		if s.answers > 4 && s.failures > t.failures[s.Service]+failingShare {
+			t.strike(now, s)
+		}
+	case Full:
+		s.pausedUntil = now.Add(fullPause)
+	case Misdirected:
+		s.gone = true
+	}
+}
+
+func (t *Table) average(s *server, failed float64) {
+	s.answers++
+	s.failures += (failed - s.failures) * failureWeight
+	t.failures[s.Service] += (failed - t.failures[s.Service]) * failureWeight / float64(max(len(t.byService[s.Service]), 1))
+}
+
+func (t *Table) strike(now time.Time, s *server) {
+	s.strikes++
+	s.pausedUntil = now.Add(s.pause())
+}
+
+func (s *server) pause() time.Duration {
+	return min(firstPause<<min(max(s.strikes-1, 0), 5), maxPause)
+}
+
+// ServerDump is what the table believes of a server.
+type ServerDump struct {
+	ID          string    `json:"id"`
+	Service     string    `json:"service"`
+	Zone        string    `json:"zone"`
+	Version     string    `json:"version"`
+	Draining    bool      `json:"draining"`
+	Running     int       `json:"running"`
+	Waiting     int64     `json:"waitingTokens"`
+	Failures    float64   `json:"failures"`
+	PausedUntil time.Time `json:"pausedUntil"`
+}
+
+// Dump lists the servers by id.
+func (t *Table) Dump() []ServerDump {
+	list := make([]ServerDump, 0, len(t.servers))
+	for _, s := range t.servers {
+		list = append(list, ServerDump{
+			ID: s.ID, Service: s.Service, Zone: s.Zone, Version: s.Version, Draining: s.Draining, Running: s.running,
+			Waiting: s.waiting, Failures: s.failures, PausedUntil: s.pausedUntil,
+		})
+	}
+	slices.SortFunc(list, func(a, b ServerDump) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Random returns a number in [0, 1) from the table's source.
+func (t *Table) Random() float64 { return t.random.Float64() }
--- /dev/null
+++ b/gateway/budgets.go
@@ -0,0 +1,448 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"ibiswinch/core/catalog"
+	"ibiswinch/core/escrow"
+	"ibiswinch/core/event"
+	"ibiswinch/core/keyed"
+	"ibiswinch/core/refusal"
+	"ibiswinch/io/apexlog"
+)
+
+const (
+	// planInterval is how often the reservations are looked at without a request that lacks tokens.
+	planInterval = 400 * time.Millisecond
+	// reserveWait bounds how long a call waits for a larger reservation.
+	reserveWait = 250 * time.Millisecond
+	// floorParts is the number of parts of a budget of which all entry VMs together hold one when idle.
+	floorParts = 12
+	// conflictTries bounds the appends of one look that lose against other entry VMs.
+	conflictTries = 6
+	// reserveRetry is when a repeat may find tokens that are reserved elsewhere now.
+	reserveRetry = 400 * time.Millisecond
+	// settleTries bounds the attempts to return tokens at a planned stop.
+	settleTries = 8
+)
+
+// budgetController reserves tokens in the ledger and admits calls against the reservations.
+type budgetController struct {
+	cfg      Config
+	catalogs *catalogController
+	fleet    *fleetController
+	books    []*book
+}
+
+// book is one partition of the ledger.
+type book struct {
+	b      *budgetController
+	follow follower
+	wake   chan struct{}
+
+	mu       sync.Mutex
+	ready    bool
+	teams    map[string]*escrow.Book
+	accounts map[string]*escrow.Account
+	// changed is closed and replaced whenever accounts or books have changed.
+	changed chan struct{}
+}
+
+func newBudgetController(cfg Config, catalogs *catalogController, fleet *fleetController) *budgetController {
+	b := &budgetController{cfg: cfg, catalogs: catalogs, fleet: fleet}
+	for i := range max(cfg.LedgerPartitions, 1) {
+		k := &book{
+			b: b, wake: make(chan struct{}, 1), teams: map[string]*escrow.Book{}, accounts: map[string]*escrow.Account{},
+			changed: make(chan struct{}),
+		}
+		k.follow = follower{cfg: cfg, partition: keyed.Partition{Stream: keyed.Ledger, Number: i}, apply: k.apply, snapshot: k.snapshot}
+		b.books = append(b.books, k)
+	}
+	return b
+}
+
+func (b *budgetController) loop(ctx context.Context) error {
+	var wg sync.WaitGroup
+	for _, k := range b.books {
+		wg.Go(func() { k.loop(ctx) })
+	}
+	wg.Wait()
+	return ctx.Err()
+}
+
+func (b *budgetController) wakeAll() {
+	for _, k := range b.books {
+		k.poke()
+	}
+}
+
+func (b *budgetController) loaded() bool {
+	for _, k := range b.books {
+		k.mu.Lock()
+		ready := k.ready
+		k.mu.Unlock()
+		if !ready {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *budgetController) bookOf(team string) *book {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(team))
+	return b.books[h.Sum32()%uint32(len(b.books))]
+}
+
+// admit holds tokens of a team for a call.
+func (b *budgetController) admit(ctx context.Context, id string, team *catalog.Team, tokens int64, until time.Time) *refusal.Error {
+	if team == nil || !team.Limited || tokens == 0 {
+		return nil
+	}
+	k := b.bookOf(team.Name)
+	if latest := b.cfg.Now().Add(reserveWait); until.After(latest) {
+		until = latest
+	}
+	for {
+		admitted, changed := k.admit(team.Name, tokens)
+		if admitted {
+			return nil
+		}
+		now := b.cfg.Now()
+		if !now.Before(until) {
+			return k.refuse(id, team.Name, tokens)
+		}
+		if refused := k.exhausted(id, team.Name, tokens); refused != nil {
+			return refused
+		}
+		timer := time.NewTimer(until.Sub(now))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return refusal.New(refusal.CallerGone, "the caller left while tokens were reserved")
+		}
+	}
+}
+
+// settle ends the hold of a call.
+func (b *budgetController) settleCall(team *catalog.Team, held, used int64) {
+	if team == nil || !team.Limited || held == 0 {
+		return
+	}
+	k := b.bookOf(team.Name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.account(team.Name).Settle(b.cfg.Now(), held, used)
+	b.cfg.Metrics.Billed(team.Name, uint64(used))
+}
+
+// settle returns all reservations at a planned stop.
+func (b *budgetController) settle(ctx context.Context) error {
+	var errs []error
+	for _, k := range b.books {
+		errs = append(errs, k.settle(ctx))
+	}
+	return errors.Join(errs...)
+}
+
+func (k *book) poke() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// account returns the account of a team. The caller holds mu, and the partition has been read.
+func (k *book) account(team string) *escrow.Account {
+	a := k.accounts[team]
+	if a == nil {
+		a = escrow.NewAccount(k.team(team).Reserved(k.b.cfg.Name))
+		k.accounts[team] = a
+	}
+	return a
+}
+
+func (k *book) team(name string) *escrow.Book {
+	t := k.teams[name]
+	if t == nil {
+		t = &escrow.Book{}
+		k.teams[name] = t
+	}
+	return t
+}
+
+// limit is what the configuration in force says; 0 for a team that has none or is gone.
+func (k *book) limit(team string) int64 {
+	c := k.b.catalogs.now()
+	if c == nil {
+		return 0
+	}
+	if t := c.Team(team); t != nil && t.Limited {
+		return t.Prepaid
+	}
+	return 0
+}
+
+func (k *book) admit(team string, tokens int64) (admitted bool, changed <-chan struct{}) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.ready {
+		return false, k.changed
+	}
+	a := k.account(team)
+	if a.Admit(tokens) {
+		if a.Wants(k.b.cfg.Now(), k.floor(team), k.limit(team), k.b.fleet.count(), k.team(team)) {
+			k.poke()
+		}
+		return true, nil
+	}
+	k.poke()
+	return false, k.changed
+}
+
+// exhausted refuses a call that fits in no part of the budget, whoever holds it.
+func (k *book) exhausted(id, team string, tokens int64) *refusal.Error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.ready {
+		return nil
+	}
+	limit, used := k.limit(team), k.team(team).Used()
+	if limit-used >= tokens {
+		return nil
+	}
+	return k.refused(id, team, tokens, refusal.New(refusal.BudgetExhausted, "%d tokens of %d are used", used, limit))
+}
+
+// refuse refuses a call whose tokens are reserved elsewhere or can't be reserved now.
+func (k *book) refuse(id, team string, tokens int64) *refusal.Error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	e := refusal.New(refusal.BudgetUnavailable, "no tokens could be reserved").After(k.b.cfg.Now().Add(reserveRetry))
+	return k.refused(id, team, tokens, e)
+}
+
+// refused logs what the refusal was based on. The caller holds mu.
+func (k *book) refused(id, team string, tokens int64, e *refusal.Error) *refusal.Error {
+	fields := apexlog.Fields{
+		"request": id, "team": team, "tokens": tokens, "limit": k.limit(team), "used": k.team(team).Used(),
+		"free": k.team(team).Free(k.limit(team)), "ledgerOffset": k.follow.next, "reason": string(e.Reason),
+	}
+	if k.ready {
+		a := k.account(team)
+		fields["reserved"], fields["left"], fields["held"] = a.Reserved(), a.Left(), a.Held()
+	}
+	k.b.cfg.Events.Event(event.ReservationShort, fields)
+	return e
+}
+
+func (k *book) floor(team string) int64 {
+	return k.limit(team) / int64(floorParts*max(k.b.fleet.count(), 1))
+}
+
+func (k *book) loop(ctx context.Context) {
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		if !k.ready || k.wants() {
+			if err := k.renew(ctx); err != nil && ctx.Err() == nil {
+				k.follow.fail(err)
+				pause(ctx, retryPause)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-k.wake:
+		}
+	}
+}
+
+func (k *book) wants() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now, n := k.b.cfg.Now(), k.b.fleet.count()
+	for team, a := range k.accounts {
+		if a.Wants(now, k.floor(team), k.limit(team), n, k.team(team)) {
+			return true
+		}
+	}
+	return false
+}
+
+// renew reads the partition and appends what the accounts need, on the condition that nobody else appends first.
+func (k *book) renew(ctx context.Context) error {
+	for range conflictTries {
+		if err := k.follow.step(ctx); err != nil {
+			return err
+		}
+		k.observe()
+		plans := k.plan()
+		if len(plans) == 0 {
+			return nil
+		}
+		err := k.append(ctx, plans)
+		var conflict *keyed.ConflictError
+		if !errors.As(err, &conflict) {
+			return err
+		}
+	}
+	return nil
+}
+
+type plan struct {
+	team string
+	escrow.Plan
+}
+
+func (k *book) plan() []plan {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var plans []plan
+	now, n := k.b.cfg.Now(), k.b.fleet.count()
+	for _, team := range slices.Sorted(maps.Keys(k.accounts)) {
+		a := k.accounts[team]
+		p := a.Plan(now, k.floor(team), k.limit(team), n, k.team(team))
+		if !p.Raise && !p.Lower {
+			continue
+		}
+		a.Writing(p.Record)
+		plans = append(plans, plan{team: team, Plan: p})
+	}
+	return plans
+}
+
+func (k *book) append(ctx context.Context, plans []plan) error {
+	records := make([]keyed.Record, 0, len(plans))
+	for _, p := range plans {
+		value, err := json.Marshal(p.Record)
+		if err != nil {
+			return eris.Wrap(err, "encode reservation")
+		}
+		records = append(records, keyed.Record{Key: ledgerKey(p.team, k.b.cfg.Name), Value: value})
+	}
+	expected := k.follow.next
+	k.b.cfg.Metrics.Append()
+	end, err := k.b.cfg.Log.Append(ctx, k.follow.partition, records, &expected)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		var conflict *keyed.ConflictError
+		if !errors.As(err, &conflict) {
+			k.b.cfg.Events.Event(event.ReservationFailed, apexlog.Fields{"offset": expected, "error": err.Error()})
+		}
+		return err
+	}
+	k.follow.next = end
+	for _, p := range plans {
+		k.team(p.team).Set(k.b.cfg.Name, p.Record)
+		k.accounts[p.team].Confirm(p.Record)
+		kind := event.ReservationRaised
+		if p.Lower {
+			kind = event.ReservationReturned
+		}
+		k.b.cfg.Events.Event(kind, apexlog.Fields{
+			"team": p.team, "reserved": p.Record.Reserved, "used": p.Record.Used, "offset": expected,
+			"free": k.team(p.team).Free(k.limit(p.team)),
+		})
+	}
+	k.signal()
+	return nil
+}
+
+// observe takes over what the store holds for this entry VM.
+func (k *book) observe() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for team, a := range k.accounts {
+		a.Observe(k.team(team).Reserved(k.b.cfg.Name))
+	}
+}
+
+// signal wakes the calls that wait for tokens. The caller holds mu.
+func (k *book) signal() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+func (k *book) snapshot(records []keyed.Record) {
+	k.mu.Lock()
+	for _, r := range records {
+		k.set(r)
+	}
+	k.ready = true
+	k.signal()
+	k.mu.Unlock()
+}
+
+func (k *book) apply(r keyed.Record) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.set(r)
+}
+
+// set folds one record. The caller holds mu.
+func (k *book) set(r keyed.Record) {
+	team, holder, ok := strings.Cut(r.Key, "/")
+	var record escrow.Record
+	if !ok || json.Unmarshal(r.Value, &record) != nil {
+		k.b.cfg.Events.Event(event.RecordSkipped, apexlog.Fields{"key": r.Key, "offset": r.Offset})
+		return
+	}
+	k.team(team).Set(holder, record)
+}
+
+// settle returns everything that isn't used.
+func (k *book) settle(ctx context.Context) error {
+	var err error
+	for range settleTries {
+		if err = k.follow.step(ctx); err != nil {
+			pause(ctx, retryPause)
+			continue
+		}
+		plans := k.closing()
+		if len(plans) == 0 {
+			return nil
+		}
+		if err = k.append(ctx, plans); err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return err
+}
+
+func (k *book) closing() []plan {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var plans []plan
+	for _, team := range slices.Sorted(maps.Keys(k.accounts)) {
+		a := k.accounts[team]
+		if a.Reserved() == a.Used() {
+			continue
+		}
+		r := a.Close()
+		a.Writing(r)
+		plans = append(plans, plan{team: team, Plan: escrow.Plan{Record: r, Lower: true}})
+	}
+	return plans
+}
+
+func ledgerKey(team, holder string) string { return cmp.Or(team, "-") + "/" + holder }
--- /dev/null
+++ b/gateway/catalog.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"ibiswinch/core/catalog"
+	"ibiswinch/core/event"
+	"ibiswinch/core/keyed"
+	"ibiswinch/io/apexlog"
+)
+
+// operationsWait is how long a read waits for a change. It bounds the time for which a connection that has gone silent
+// hides a change.
+const operationsWait = time.Second
+
+// catalogController keeps the configuration in force.
+type catalogController struct {
+	cfg     Config
+	current atomic.Pointer[catalog.Catalog]
+	// changed is called after a new configuration came into force.
+	changed func()
+	follow  follower
+}
+
+func newCatalogController(cfg Config) *catalogController {
+	c := &catalogController{cfg: cfg, changed: func() {}}
+	c.follow = follower{
+		cfg: cfg, partition: keyed.Partition{Stream: keyed.Operations}, wait: operationsWait, apply: c.apply,
+		snapshot: func(records []keyed.Record) {
+			for _, r := range records {
+				c.apply(r)
+			}
+		},
+	}
+	return c
+}
+
+func (c *catalogController) loop(ctx context.Context) error { return c.follow.loop(ctx) }
+
+func (c *catalogController) now() *catalog.Catalog { return c.current.Load() }
+
+func (c *catalogController) apply(r keyed.Record) {
+	if len(r.Value) == 0 {
+		return
+	}
+	operation, err := c.cfg.Decoder.Operation(r.Key, r.Value)
+	if err != nil {
+		c.cfg.Events.Event(event.ConfigRejected, apexlog.Fields{"key": r.Key, "offset": r.Offset, "error": err.Error()})
+		return
+	}
+	if next, ok := operation.(*catalog.Catalog); ok {
+		c.replace(next, r.Offset)
+	}
+}
+
+// replace never goes back to an older version.
+func (c *catalogController) replace(next *catalog.Catalog, offset uint64) {
+	if old := c.current.Load(); old != nil && old.Version >= next.Version {
+		return
+	}
+	c.current.Store(next)
+	c.cfg.Events.Event(event.ConfigInForce, apexlog.Fields{"version": next.Version, "offset": offset})
+	c.changed()
+}
--- /dev/null
+++ b/gateway/dump.go
@@ -0,0 +1,51 @@
+package gateway
+
+import "ibiswinch/core/placement"
+
+// Dump is the state of a gateway for operators.
+type Dump struct {
+	Name    string                 `json:"name"`
+	Ready   bool                   `json:"ready"`
+	Serving int64                  `json:"serving"`
+	Version int64                  `json:"configVersion"`
+	Members int                    `json:"members"`
+	Servers []placement.ServerDump `json:"servers"`
+	Budgets []BudgetDump           `json:"budgets"`
+}
+
+// BudgetDump is the state of one team's budget here.
+type BudgetDump struct {
+	Team     string `json:"team"`
+	Limit    int64  `json:"limit"`
+	Free     int64  `json:"free"`
+	Reserved int64  `json:"reserved"`
+	Used     int64  `json:"used"`
+	Held     int64  `json:"held"`
+}
+
+// Dump returns the state of the gateway.
+func (g *Gateway) Dump() Dump {
+	d := Dump{Name: g.cfg.Name, Ready: g.Ready(), Serving: g.Serving(), Members: g.fleet.count(), Budgets: g.budgets.dump()}
+	if c := g.catalogs.now(); c != nil {
+		d.Version = c.Version
+	}
+	g.servers.mu.Lock()
+	defer g.servers.mu.Unlock()
+	d.Servers = g.servers.table.Dump()
+	return d
+}
+
+func (b *budgetController) dump() []BudgetDump {
+	var list []BudgetDump
+	for _, k := range b.books {
+		k.mu.Lock()
+		for team, a := range k.accounts {
+			limit := k.limit(team)
+			list = append(list, BudgetDump{
+				Team: team, Limit: limit, Free: k.team(team).Free(limit), Reserved: a.Reserved(), Used: a.Used(), Held: a.Held(),
+			})
+		}
+		k.mu.Unlock()
+	}
+	return list
+}
