escrow: divide what is free in proportion to the wants of the holders

Cause: equal parts left the entry VMs with most of the callers of a team short while the store was cut off. Ruled out: the floor (small teams were served).

--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -14,8 +14,10 @@
 	Horizon = 10 * time.Second
 	// rateWindow is the averaging time of the use of a team.
 	rateWindow = 4 * time.Second
+	// spread covers the variation of the use over the horizon, in hundredths.
+	spread = 130
 	// lowShare of the target is where a new reservation is asked for, in hundredths.
-	lowShare = 75
+	lowShare = 80
 	// highShare of the target is where idle tokens are returned, in hundredths.
 	highShare = 160
 )
@@ -26,6 +28,9 @@
 	Reserved int64 `json:"reserved"`
 	// Used is what the holder had used when it wrote the record.
 	Used int64 `json:"used"`
+	// Want is the number of unused tokens that the holder would like to have. The others leave it a part of what is
+	// free in proportion.
+	Want int64 `json:"want,omitempty"`
 	// Closed means that the holder stopped and uses nothing beyond Reserved, which equals Used.
 	Closed bool `json:"closed,omitempty"`
 }
@@ -35,6 +40,7 @@
 	records map[string]Record
 	sum     int64
 	used    int64
+	want    int64
 }
 
 // Set takes the newest record of a holder.
@@ -45,6 +51,7 @@
 	old := b.records[holder]
 	b.sum += r.Reserved - old.Reserved
 	b.used += r.Used - old.Used
+	b.want += r.Want - old.Want
 	b.records[holder] = r
 }
 
@@ -125,13 +132,22 @@
 	}
 }
 
-// target is the number of unused tokens that the account should have, running calls not counted: enough for the
-// horizon, and no more than an equal part of what the store has unreserved.
-func (a *Account) target(now time.Time, floor, free int64, holders int) int64 {
+// Want is the number of unused tokens that the account should have, running calls not counted. floor is what an idle
+// account keeps.
+func (a *Account) want(now time.Time, floor int64) int64 {
 	a.decay(now)
-	want := int64(a.rate*Horizon.Seconds()) + floor
-	share := (max(free, 0) + max(a.Left(), 0)) / int64(max(holders, 1))
-	return min(want, share)
+	return int64(a.rate*Horizon.Seconds()*spread/100) + floor
+}
+
+// target bounds the want of a holder by its part of what is free: in proportion to the wants of all.
+func (a *Account) target(want int64, holder string, limit int64, book *Book) int64 {
+	free := max(book.Free(limit), 0)
+	all := book.want - book.records[holder].Want + want
+	if all <= 0 {
+		return 0
+	}
+	part := int64(float64(free) * float64(want) / float64(all))
+	return min(want, max(a.Left(), 0)+part)
 }
 
 // Plan is the reservation that an account should have.
@@ -141,32 +157,33 @@
 	Raise, Lower bool
 }
 
-// Plan returns what to write to the store next. floor is the number of tokens that an account keeps even when idle.
-func (a *Account) Plan(now time.Time, floor, limit int64, holders int, book *Book) Plan {
-	free := book.Free(limit)
-	target := a.target(now, floor, free, holders)
+// Plan returns what a holder should write to the store next, if anything.
+func (a *Account) Plan(now time.Time, holder string, floor, limit int64, book *Book) Plan {
+	want := a.want(now, floor)
+	target := a.target(want, holder, limit, book)
+	free := max(book.Free(limit), 0)
 	need := a.shortage
 	a.shortage = 0
 	left := a.Left()
 	switch {
 	case need > 0 || left*100 < target*lowShare:
-		more := min(max(target-left, need), max(free, 0))
+		more := min(max(target-left, need), free)
 		if more <= 0 || more < need {
 			return Plan{}
 		}
-		return Plan{Record: Record{Reserved: a.reserved + more, Used: a.spent}, Raise: true}
-	case left*100 > target*highShare && left-target > floor:
-		return Plan{Record: Record{Reserved: a.ceiling - (left - target), Used: a.spent}, Lower: true}
+		return Plan{Record: Record{Reserved: a.reserved + more, Used: a.spent, Want: want}, Raise: true}
+	case left*100 > want*highShare:
+		return Plan{Record: Record{Reserved: a.ceiling - (left - want), Used: a.spent, Want: want}, Lower: true}
 	}
 	return Plan{}
 }
 
-// Wants reports whether Plan should be called: the account is short, low or holds far more than it needs.
-func (a *Account) Wants(now time.Time, floor, limit int64, holders int, book *Book) bool {
-	target := a.target(now, floor, book.Free(limit), holders)
+// Wants reports whether Plan would ask for a write: the account is short, low or holds far more than it needs.
+func (a *Account) Wants(now time.Time, holder string, floor, limit int64, book *Book) bool {
+	want := a.want(now, floor)
+	target := a.target(want, holder, limit, book)
 	left := a.Left()
-	return a.shortage > 0 || left*100 < target*lowShare && book.Free(limit) > 0 ||
-		left*100 > target*highShare && left-target > floor
+	return a.shortage > 0 || left*100 < target*lowShare && book.Free(limit) > 0 || left*100 > want*highShare
 }
 
 // Writing notes that a record is on its way to the store.
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -51,8 +51,10 @@
 	follow follower
 	wake   chan struct{}
 
-	mu       sync.Mutex
-	ready    bool
+	mu    sync.Mutex
+	ready bool
+	// away is set while the log doesn't answer.
+	away     bool
 	teams    map[string]*escrow.Book
 	accounts map[string]*escrow.Account
 	// changed is closed and replaced whenever accounts or books have changed.
@@ -66,7 +68,8 @@
 			b: b, wake: make(chan struct{}, 1), teams: map[string]*escrow.Book{}, accounts: map[string]*escrow.Account{},
 			changed: make(chan struct{}),
 		}
-		k.follow = follower{cfg: cfg, partition: keyed.Partition{Stream: keyed.Ledger, Number: i}, apply: k.apply, snapshot: k.snapshot}
+		k.follow = follower{cfg: cfg, partition: keyed.Partition{Stream: keyed.Ledger, Number: i}, apply: k.apply, snapshot: k.snapshot,
+			lost: func(time.Time) { k.setAway(true) }, regained: func(time.Time) { k.setAway(false) }}
 		b.books = append(b.books, k)
 	}
 	return b
@@ -120,7 +123,7 @@
 			return nil
 		}
 		now := b.cfg.Now()
-		if !now.Before(until) {
+		if !now.Before(until) || k.unreachable() {
 			return k.refuse(id, team.Name, tokens)
 		}
 		if refused := k.exhausted(id, team.Name, tokens); refused != nil {
@@ -160,6 +163,14 @@
 	return errors.Join(errs...)
 }
 
+// setAway wakes the calls that wait, so that they are refused at once when the log stops to answer.
+func (k *book) setAway(away bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.away = away
+	k.signal()
+}
+
 func (k *book) poke() {
 	select {
 	case k.wake <- struct{}{}:
@@ -206,7 +217,7 @@
 	}
 	a := k.account(team)
 	if a.Admit(tokens) {
-		if a.Wants(k.b.cfg.Now(), k.floor(team), k.limit(team), k.b.fleet.count(), k.team(team)) {
+		if a.Wants(k.b.cfg.Now(), k.b.cfg.Name, k.floor(team), k.limit(team), k.team(team)) {
 			k.poke()
 		}
 		return true, nil
@@ -229,6 +240,13 @@
 	return k.refused(id, team, tokens, refusal.New(refusal.BudgetExhausted, "%d tokens of %d are used", used, limit))
 }
 
+// unreachable reports whether the log doesn't answer, so that waiting for tokens is no use.
+func (k *book) unreachable() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.away
+}
+
 // refuse refuses a call whose tokens are reserved elsewhere or can't be reserved now.
 func (k *book) refuse(id, team string, tokens int64) *refusal.Error {
 	k.mu.Lock()
@@ -276,9 +294,9 @@
 func (k *book) wants() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now, n := k.b.cfg.Now(), k.b.fleet.count()
+	now := k.b.cfg.Now()
 	for team, a := range k.accounts {
-		if a.Wants(now, k.floor(team), k.limit(team), n, k.team(team)) {
+		if a.Wants(now, k.b.cfg.Name, k.floor(team), k.limit(team), k.team(team)) {
 			return true
 		}
 	}
@@ -314,10 +332,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var plans []plan
-	now, n := k.b.cfg.Now(), k.b.fleet.count()
+	now := k.b.cfg.Now()
 	for _, team := range slices.Sorted(maps.Keys(k.accounts)) {
 		a := k.accounts[team]
-		p := a.Plan(now, k.floor(team), k.limit(team), n, k.team(team))
+		p := a.Plan(now, k.b.cfg.Name, k.floor(team), k.limit(team), k.team(team))
 		if !p.Raise && !p.Lower {
 			continue
 		}
