escrow: bound what a dead process can have used; charge only what was delivered

The usable part of a reservation now grows with the time since its last record; the next life takes back what cannot have been used in the time that passed by the median of the fleet's clocks. With under a fifth left, nobody keeps reserves.

--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -43,7 +43,7 @@
 	metricsPort = 9464
 	metricsPath = "/metrics"
 	// ledgerPartitions spreads the teams, so that entry VMs seldom append to the same partition at once.
-	ledgerPartitions = 4
+	ledgerPartitions = 2
 	// memoryShare is the part of the memory limit from which the garbage collector works harder, in hundredths.
 	memoryShare = 60
 	// garbageShare is the growth of the heap between two collections, in hundredths.
--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -1,93 +1,127 @@
-// Package escrow decides how the prepaid tokens of a team are divided among entry VMs. A reservation is recorded in
-// the platform's store with a conditional append, so that the reservations of all holders never pass the limit; an entry
-// VM spends from its own reservation alone. Nothing here has a clock, a goroutine or I/O.
 package escrow
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
 // Tuning of the size of a reservation.
 const (
 	// Horizon is how long a reservation should last without the store; its outages take up to 9 s.
-	Horizon = 10 * time.Second
+	Horizon = 11 * time.Second
 	// rateWindow is the averaging time of the use of a team.
 	rateWindow = 4 * time.Second
 	// spread covers the variation of the use over the horizon, in hundredths.
-	spread = 130
-	// lowShare of the target is where a new reservation is asked for, in hundredths.
-	lowShare = 80
-	// highShare of the target is where idle tokens are returned, in hundredths.
-	highShare = 160
+	spread = 110
+	// lowShare of the target is where more is asked for, highShare where tokens are returned, in hundredths.
+	lowShare  = 80
+	highShare = 135
+	// minReturn is the least number of tokens that is worth a write.
+	minReturn = 1000
+	// pace is how much faster than the recent rate the usable part grows without a confirmation, in hundredths.
+	pace = 130
+	// refreshAge is when an unchanged record is written again, so that little is lost if the process dies.
+	refreshAge = 500 * time.Millisecond
 )
 
-// Record is the reservation of one holder as the store keeps it.
-type Record struct {
-	// Reserved is the sum of tokens that the holder may use, over all its lives.
-	Reserved int64 `json:"reserved"`
-	// Used is what the holder had used when it wrote the record.
-	Used int64 `json:"used"`
-	// Want is the number of unused tokens that the holder would like to have. The others leave it a part of what is
-	// free in proportion.
-	Want int64 `json:"want,omitempty"`
-	// Closed means that the holder stopped and uses nothing beyond Reserved, which equals Used.
-	Closed bool `json:"closed,omitempty"`
-}
-
-// Book is the fold of all records of one team.
-type Book struct {
-	records map[string]Record
-	sum     int64
-	used    int64
-	want    int64
-}
-
-// Set takes the newest record of a holder.
-func (b *Book) Set(holder string, r Record) {
-	if b.records == nil {
-		b.records = map[string]Record{}
-	}
-	old := b.records[holder]
-	b.sum += r.Reserved - old.Reserved
-	b.used += r.Used - old.Used
-	b.want += r.Want - old.Want
-	b.records[holder] = r
+// Floors are the least amounts of an account, whatever its recent use.
+type Floors struct {
+	// Want is the number of unused tokens that an idle account keeps.
+	Want int64
+	// Burst is usable at once after a confirmation.
+	Burst int64
+	// Rate is the least growth of the usable part, in tokens a second.
+	Rate int64
+	// Scarce is the number of unused tokens of the whole budget below which nobody keeps a reserve, so that the last
+	// tokens aren't split into parts that are too small for a call.
+	Scarce int64
 }
 
-// Reserved returns the record of a holder.
-func (b *Book) Reserved(holder string) Record { return b.records[holder] }
-
-// Free is what the limit leaves unreserved; it may be negative after the limit was lowered.
-func (b *Book) Free(limit int64) int64 { return limit - b.sum }
-
-// Used is what the holders have reported to be used.
-func (b *Book) Used() int64 { return b.used }
-
 // Account is one entry VM's part of a team's budget. It is not safe for concurrent use.
 type Account struct {
-	// reserved is confirmed by the store. ceiling is at most reserved; it is lower while a return is under way.
-	reserved, ceiling int64
+	holder string
+	// confirmed is the record that the store holds, sentAt when it was sent.
+	confirmed Record
+	sentAt    time.Time
+	// writes are records whose outcome isn't known. The store may still carry them out, so that nothing beyond any of
+	// them may be spent.
+	writes []write
+	// inherited is the last record of the life before, until its unused part is known.
+	inherited *Record
+
 	// spent is used for good, held is reserved for calls that run.
 	spent, held int64
 	rate        float64
 	rateAt      time.Time
 	// shortage is the largest amount that a waiting call lacks.
 	shortage int64
-	// lowest is the smallest reservation among the writes whose outcome isn't known; noWrite if there are none. The
-	// store may still carry such a write out, so that nothing beyond it may be spent.
-	lowest int64
 }
 
-const noWrite = math.MaxInt64
+type write struct {
+	record Record
+	sentAt time.Time
+	at     uint64
+}
 
-// NewAccount returns the account of an entry VM that starts: all that earlier lives of it reserved counts as used.
-func NewAccount(r Record) *Account {
-	return &Account{reserved: r.Reserved, ceiling: r.Reserved, spent: r.Reserved, lowest: noWrite}
+// NewAccount returns the account of an entry VM that starts. All that its life before reserved counts as used, until
+// Recover says otherwise.
+func NewAccount(now time.Time, holder string, r Record) *Account {
+	a := &Account{holder: holder, confirmed: r, sentAt: now, spent: r.Reserved}
+	if r.Reserved > r.Base {
+		a.inherited = &r
+	}
+	return a
+}
+
+// Recover takes back what the life before can't have used: it was written last at most age before it ended.
+func (a *Account) Recover(age time.Duration) int64 {
+	if a.inherited == nil {
+		return 0
+	}
+	unused := a.inherited.Reserved - a.inherited.Bound(age)
+	a.inherited = nil
+	a.spent -= unused
+	return unused
+}
+
+// Inherited returns the last record of the life before if its use isn't known yet.
+func (a *Account) Inherited() (Record, bool) {
+	if a.inherited == nil {
+		return Record{}, false
+	}
+	return *a.inherited, true
+}
+
+// usable is the sum of tokens that may be spent or held now.
+func (a *Account) usable(now time.Time) int64 {
+	most := a.bound(now, a.confirmed, a.sentAt)
+	for _, w := range a.writes {
+		most = min(most, a.bound(now, w.record, w.sentAt))
+	}
+	return most
+}
+
+// bound is what a record allows here. What the life before left is not a part of the record's base, and counts from
+// the start of this one.
+func (a *Account) bound(now time.Time, r Record, sentAt time.Time) int64 {
+	if a.inherited != nil && r == a.confirmed && r == *a.inherited {
+		return r.Reserved
+	}
+	return r.Bound(now.Sub(sentAt))
 }
 
 // Left is what can still be admitted.
-func (a *Account) Left() int64 { return a.ceiling - a.spent - a.held }
+func (a *Account) Left(now time.Time) int64 { return a.usable(now) - a.spent - a.held }
+
+// idle is what is reserved and neither used nor held.
+func (a *Account) idle() int64 {
+	reserved := a.confirmed.Reserved
+	for _, w := range a.writes {
+		reserved = min(reserved, w.record.Reserved)
+	}
+	return reserved - a.spent - a.held
+}
 
 // Used is what was used for good.
 func (a *Account) Used() int64 { return a.spent }
@@ -96,12 +130,12 @@
 func (a *Account) Held() int64 { return a.held }
 
 // Reserved is what the store has confirmed.
-func (a *Account) Reserved() int64 { return a.reserved }
+func (a *Account) Reserved() int64 { return a.confirmed.Reserved }
 
 // Admit holds tokens for a call.
-func (a *Account) Admit(tokens int64) bool {
-	if a.Left() < tokens {
-		a.shortage = max(a.shortage, tokens-a.Left())
+func (a *Account) Admit(now time.Time, tokens int64) bool {
+	if left := a.Left(now); left < tokens {
+		a.shortage = max(a.shortage, tokens)
 		return false
 	}
 	a.held += tokens
@@ -117,95 +151,118 @@
 	a.rate += float64(used) / rateWindow.Seconds()
 }
 
-// decay ages the rate. An exponential average needs no history.
+// decay ages the rate.
 func (a *Account) decay(now time.Time) {
 	if !a.rateAt.IsZero() && now.After(a.rateAt) {
-		age := now.Sub(a.rateAt)
-		if age >= 8*rateWindow {
-			a.rate = 0
-		}
-		steps := float64(age) / float64(rateWindow)
-		a.rate /= 1 + steps + steps*steps/2
+		a.rate *= math.Exp(-float64(now.Sub(a.rateAt)) / float64(rateWindow))
 	}
 	if a.rateAt.IsZero() || now.After(a.rateAt) {
 		a.rateAt = now
 	}
 }
 
-// Want is the number of unused tokens that the account should have, running calls not counted. floor is what an idle
-// account keeps.
-func (a *Account) want(now time.Time, floor int64) int64 {
+// want is the number of unused tokens that the account should have, running calls not counted.
+func (a *Account) want(now time.Time, f Floors) int64 {
 	a.decay(now)
-	return int64(a.rate*Horizon.Seconds()*spread/100) + floor
+	return max(int64(a.rate*Horizon.Seconds()*spread/100), f.Want)
 }
 
-// target bounds the want of a holder by its part of what is free: in proportion to the wants of all.
-func (a *Account) target(want int64, holder string, limit int64, book *Book) int64 {
-	free := max(book.Free(limit), 0)
-	all := book.want - book.records[holder].Want + want
+// target bounds the want of a holder by its part of all that isn't used, in proportion to the wants.
+func (a *Account) target(want int64, f Floors, limit int64, book *Book) int64 {
+	own := book.records[a.holder]
+	all := book.want - own.Want + want
 	if all <= 0 {
 		return 0
 	}
-	part := int64(float64(free) * float64(want) / float64(all))
-	return min(want, max(a.Left(), 0)+part)
+	unused := max(book.Free(limit), 0) + book.idles - own.idle() + max(a.idle(), 0)
+	if unused < f.Scarce {
+		return 0
+	}
+	return min(want, int64(float64(unused)*float64(want)/float64(all)))
 }
 
-// Plan is the reservation that an account should have.
+// Plan is what an account should write to the store.
 type Plan struct {
 	Record Record
-	// Raise is set when more is asked for, Lower when something is returned.
-	Raise, Lower bool
+	// Reason says why.
+	Reason Reason
 }
 
-// Plan returns what a holder should write to the store next, if anything.
-func (a *Account) Plan(now time.Time, holder string, floor, limit int64, book *Book) Plan {
-	want := a.want(now, floor)
-	target := a.target(want, holder, limit, book)
-	free := max(book.Free(limit), 0)
-	need := a.shortage
+// Reason is the cause of a write.
+type Reason string
+
+// Reasons of a write.
+const (
+	None    Reason = ""
+	Raise   Reason = "raise"
+	Return  Reason = "return"
+	Refresh Reason = "refresh"
+	Close   Reason = "close"
+)
+
+// Plan decides what to write next. limit is the budget of the team, at the fleet's time of day.
+func (a *Account) Plan(now, at time.Time, f Floors, limit int64, book *Book) Plan {
+	want := a.want(now, f)
+	reason, reserved := a.decide(now, want, f, limit, book)
+	burst := max(f.Burst, a.shortage)
 	a.shortage = 0
-	left := a.Left()
-	switch {
-	case need > 0 || left*100 < target*lowShare:
-		more := min(max(target-left, need), free)
-		if more <= 0 || more < need {
-			return Plan{}
-		}
-		return Plan{Record: Record{Reserved: a.reserved + more, Used: a.spent, Want: want}, Raise: true}
-	case left*100 > want*highShare:
-		return Plan{Record: Record{Reserved: a.ceiling - (left - want), Used: a.spent, Want: want}, Lower: true}
+	if reason == None {
+		return Plan{}
 	}
-	return Plan{}
+	return Plan{Reason: reason, Record: Record{
+		Reserved: reserved, Base: a.spent + a.held, Used: a.spent, Want: want, At: at.UnixMilli(), Burst: burst,
+		Rate: max(f.Rate, int64(a.rate*pace/100)),
+	}}
+}
+
+// Wants reports whether Plan would ask for a write.
+func (a *Account) Wants(now time.Time, f Floors, limit int64, book *Book) bool {
+	reason, _ := a.decide(now, a.want(now, f), f, limit, book)
+	return reason != None
 }
 
-// Wants reports whether Plan would ask for a write: the account is short, low or holds far more than it needs.
-func (a *Account) Wants(now time.Time, holder string, floor, limit int64, book *Book) bool {
-	want := a.want(now, floor)
-	target := a.target(want, holder, limit, book)
-	left := a.Left()
-	return a.shortage > 0 || left*100 < target*lowShare && book.Free(limit) > 0 || left*100 > want*highShare
+func (a *Account) decide(now time.Time, want int64, f Floors, limit int64, book *Book) (Reason, int64) {
+	target := a.target(want, f, limit, book)
+	idle := a.idle()
+	free := max(book.Free(limit), 0)
+	lack := max(a.shortage-idle, 0)
+	switch {
+	case lack > 0 && lack <= free:
+		return Raise, a.confirmed.Reserved + min(max(target-idle, lack), free)
+	case idle*100 < target*lowShare && free > 0 && target-idle >= min(minReturn, free):
+		return Raise, a.confirmed.Reserved + min(target-idle, free)
+	case idle*100 > target*highShare && idle-target > minReturn && len(a.writes) == 0:
+		return Return, a.confirmed.Reserved - (idle - target)
+	case a.shortage > 0 && lack == 0 || a.stale(now):
+		return Refresh, a.confirmed.Reserved
+	}
+	return None, 0
 }
 
-// Writing notes that a record is on its way to the store.
-func (a *Account) Writing(r Record) {
-	a.lowest = min(a.lowest, r.Reserved)
-	a.ceiling = min(a.ceiling, r.Reserved)
+// stale reports whether the record in the store leaves much open if the process dies now.
+func (a *Account) stale(now time.Time) bool {
+	behind := a.spent+a.held-a.confirmed.Base > minReturn
+	return (a.idle() > minReturn || behind) && now.Sub(a.sentAt) >= refreshAge
 }
 
-// Confirm takes the record that the store has accepted. A later write that is accepted rules all earlier ones out.
-func (a *Account) Confirm(r Record) {
-	a.lowest = noWrite
-	a.reserved, a.ceiling = r.Reserved, r.Reserved
+// Writing notes that a record is on its way to the store, to be written if the partition ends at offset at.
+func (a *Account) Writing(now time.Time, at uint64, r Record) {
+	a.writes = append(a.writes, write{record: r, sentAt: now, at: at})
 }
 
-// Observe takes the record that the store holds while a write may still be under way.
-func (a *Account) Observe(r Record) {
-	a.reserved = r.Reserved
-	a.ceiling = min(r.Reserved, a.lowest)
+// Observe takes the record that the store holds when the partition ends at end. Writes for an earlier end are ruled out
+// unless they are that record; a write for this end may still be carried out.
+func (a *Account) Observe(r Record, end uint64) {
+	for _, w := range a.writes {
+		if w.record == r {
+			a.confirmed, a.sentAt = w.record, w.sentAt
+		}
+	}
+	a.writes = slices.DeleteFunc(a.writes, func(w write) bool { return w.at < end })
 }
 
 // Close returns everything that isn't used or held.
-func (a *Account) Close() Record {
-	a.ceiling = a.spent + a.held
-	return Record{Reserved: a.ceiling, Used: a.spent, Closed: a.held == 0}
+func (a *Account) Close(at time.Time) Plan {
+	used := a.spent + a.held
+	return Plan{Reason: Close, Record: Record{Reserved: used, Base: used, Used: a.spent, At: at.UnixMilli()}}
 }
--- /dev/null
+++ b/core/escrow/book.go
@@ -0,0 +1,66 @@
+// Package escrow decides how the prepaid tokens of a team are divided among entry VMs. A reservation is recorded in
+// the platform's store with a conditional append, so that the reservations of all holders never pass the limit; an entry
+// VM spends from its own reservation alone. The usable part of a reservation grows with the time since its last record:
+// if the process dies, its next life knows from the time that has passed what can't have been used. Nothing here has a
+// clock, a goroutine or I/O.
+package escrow
+
+import "time"
+
+// Record is the reservation of one holder as the store keeps it.
+type Record struct {
+	// Reserved is the sum of tokens that the holder may use, over all its lives.
+	Reserved int64 `json:"reserved"`
+	// Base is what was used or held for running calls when the record was written, Used what was used for good.
+	Base int64 `json:"base"`
+	Used int64 `json:"used"`
+	// At is the fleet's time of day when the record was written, in Unix milliseconds.
+	At int64 `json:"at"`
+	// Burst is usable beyond Base at once; Rate is added each second.
+	Burst int64 `json:"burst,omitempty"`
+	Rate  int64 `json:"rate,omitempty"`
+	// Want is the number of unused tokens that the holder would like to have.
+	Want int64 `json:"want,omitempty"`
+}
+
+// Bound is the most that the holder can have used when the record is age old.
+func (r Record) Bound(age time.Duration) int64 {
+	grown := float64(r.Rate) * max(age, 0).Seconds()
+	if grown > float64(r.Reserved) {
+		return r.Reserved
+	}
+	return min(r.Reserved, r.Base+r.Burst+int64(grown))
+}
+
+func (r Record) idle() int64 { return max(r.Reserved-r.Base, 0) }
+
+// Book is the fold of all records of one team.
+type Book struct {
+	records                map[string]Record
+	sum, used, want, idles int64
+}
+
+// Set takes the newest record of a holder.
+func (b *Book) Set(holder string, r Record) {
+	if b.records == nil {
+		b.records = map[string]Record{}
+	}
+	old := b.records[holder]
+	b.sum += r.Reserved - old.Reserved
+	b.used += r.Used - old.Used
+	b.want += r.Want - old.Want
+	b.idles += r.idle() - old.idle()
+	b.records[holder] = r
+}
+
+// Record returns the record of a holder.
+func (b *Book) Record(holder string) Record { return b.records[holder] }
+
+// Free is what the limit leaves unreserved; it may be negative after the limit was lowered.
+func (b *Book) Free(limit int64) int64 { return limit - b.sum }
+
+// Used is what the holders have reported to be used.
+func (b *Book) Used() int64 { return b.used }
+
+// Idle is what the holders have reserved and not used.
+func (b *Book) Idle() int64 { return b.idles }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -102,10 +102,10 @@
 
 // Reservations: 420 to 439.
 var (
-	ReservationRaised   = Event{420, Info, "reservation raised"}
-	ReservationReturned = Event{421, Info, "reservation returned"}
-	ReservationFailed   = Event{422, Warn, "reservation not confirmed"}
-	ReservationShort    = Event{423, Info, "reservation too small for a request"}
+	ReservationChanged   = Event{420, Info, "reservation changed"}
+	ReservationRecovered = Event{421, Info, "unused reservation of the process before recovered"}
+	ReservationFailed    = Event{422, Warn, "reservation not confirmed"}
+	ReservationShort     = Event{423, Info, "reservation too small for a request"}
 )
 
 // Peers: 800 to 899.
@@ -124,7 +124,7 @@
 		ListUnavailable,
 		ConfigInForce, ConfigFromPeer, ConfigRejected,
 		HolderClosed, HolderSealed, BillHeldLocally, BillsAdopted, BillsFull, BudgetExhausted, DuplicateBill,
-		ReservationRaised, ReservationReturned, ReservationFailed, ReservationShort,
+		ReservationChanged, ReservationRecovered, ReservationFailed, ReservationShort,
 		OrderUnknown, OrderWithdrawn, ChangeStopped, ChangeTakenBack, ChangeDone,
 		ServerCrashed, StreamResumed, StreamSuspended, RequestFailed, RequestQuarantine, MemoryFull,
 		ServerSeen, ServerGone, ServerPaused, RequestEnded, RequestRefused, AttemptFailed, RequestRetried, LinesDropped,
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -28,7 +28,14 @@
 	// reserveWait bounds how long a call waits for a larger reservation.
 	reserveWait = 250 * time.Millisecond
 	// floorParts is the number of parts of a budget of which all entry VMs together hold one when idle.
-	floorParts = 12
+	floorParts = 8
+	// maxBurst is about the size of a large request; burstShare is the part of a budget, in hundredths, that the bursts
+	// of all entry VMs may have. rateParts is the number of seconds in which idle accounts would use up a budget.
+	maxBurst   = 10_000
+	burstShare = 5
+	rateParts  = 60
+	// scarceTokens is the reserve for each entry VM that is worth keeping.
+	scarceTokens = 12_000
 	// conflictTries bounds the appends of one look that lose against other entry VMs.
 	conflictTries = 6
 	// reserveRetry is when a repeat may find tokens that are reserved elsewhere now.
@@ -182,12 +189,29 @@
 func (k *book) account(team string) *escrow.Account {
 	a := k.accounts[team]
 	if a == nil {
-		a = escrow.NewAccount(k.team(team).Reserved(k.b.cfg.Name))
+		a = escrow.NewAccount(k.b.cfg.Now(), k.b.cfg.Name, k.team(team).Record(k.b.cfg.Name))
 		k.accounts[team] = a
+		k.recover(team, a)
 	}
 	return a
 }
 
+// recover takes back what the life before this one can't have used. The caller holds mu.
+func (k *book) recover(team string, a *escrow.Account) {
+	record, inherited := a.Inherited()
+	if !inherited {
+		return
+	}
+	age, known := k.b.fleet.ageAtStart(time.UnixMilli(record.At))
+	if !known {
+		return
+	}
+	unused := a.Recover(age)
+	k.b.cfg.Events.Event(event.ReservationRecovered, apexlog.Fields{
+		"team": team, "tokens": unused, "reserved": record.Reserved, "base": record.Base, "ageMs": age.Milliseconds(),
+	})
+}
+
 func (k *book) team(name string) *escrow.Book {
 	t := k.teams[name]
 	if t == nil {
@@ -215,9 +239,9 @@
 	if !k.ready {
 		return false, k.changed
 	}
-	a := k.account(team)
-	if a.Admit(tokens) {
-		if a.Wants(k.b.cfg.Now(), k.b.cfg.Name, k.floor(team), k.limit(team), k.team(team)) {
+	a, now := k.account(team), k.b.cfg.Now()
+	if a.Admit(now, tokens) {
+		if a.Wants(now, k.floors(team), k.limit(team), k.team(team)) {
 			k.poke()
 		}
 		return true, nil
@@ -263,14 +287,20 @@
 	}
 	if k.ready {
 		a := k.account(team)
-		fields["reserved"], fields["left"], fields["held"] = a.Reserved(), a.Left(), a.Held()
+		fields["reserved"], fields["left"], fields["held"] = a.Reserved(), a.Left(k.b.cfg.Now()), a.Held()
 	}
 	k.b.cfg.Events.Event(event.ReservationShort, fields)
 	return e
 }
 
-func (k *book) floor(team string) int64 {
-	return k.limit(team) / int64(floorParts*max(k.b.fleet.count(), 1))
+// floors are the least amounts of a team's account. They are bounded by small parts of the budget, so that the
+// processes that die at once leave most of it.
+func (k *book) floors(team string) escrow.Floors {
+	limit, n := k.limit(team), int64(max(k.b.fleet.count(), 1))
+	return escrow.Floors{
+		Want: limit / (floorParts * n), Burst: min(maxBurst, limit*burstShare/100/n), Rate: limit / (rateParts * n),
+		Scarce: min(scarceTokens*n, limit/5),
+	}
 }
 
 func (k *book) loop(ctx context.Context) {
@@ -296,7 +326,7 @@
 	defer k.mu.Unlock()
 	now := k.b.cfg.Now()
 	for team, a := range k.accounts {
-		if a.Wants(now, k.b.cfg.Name, k.floor(team), k.limit(team), k.team(team)) {
+		if a.Wants(now, k.floors(team), k.limit(team), k.team(team)) {
 			return true
 		}
 	}
@@ -335,11 +365,11 @@
 	now := k.b.cfg.Now()
 	for _, team := range slices.Sorted(maps.Keys(k.accounts)) {
 		a := k.accounts[team]
-		p := a.Plan(now, k.b.cfg.Name, k.floor(team), k.limit(team), k.team(team))
-		if !p.Raise && !p.Lower {
+		p := a.Plan(now, k.b.fleet.timeOfDay(), k.floors(team), k.limit(team), k.team(team))
+		if p.Reason == escrow.None {
 			continue
 		}
-		a.Writing(p.Record)
+		a.Writing(now, k.follow.next, p.Record)
 		plans = append(plans, plan{team: team, Plan: p})
 	}
 	return plans
@@ -369,14 +399,13 @@
 	k.follow.next = end
 	for _, p := range plans {
 		k.team(p.team).Set(k.b.cfg.Name, p.Record)
-		k.accounts[p.team].Confirm(p.Record)
-		kind := event.ReservationRaised
-		if p.Lower {
-			kind = event.ReservationReturned
+		k.accounts[p.team].Observe(p.Record, end)
+		if p.Reason == escrow.Refresh {
+			continue
 		}
-		k.b.cfg.Events.Event(kind, apexlog.Fields{
-			"team": p.team, "reserved": p.Record.Reserved, "used": p.Record.Used, "offset": expected,
-			"free": k.team(p.team).Free(k.limit(p.team)),
+		k.b.cfg.Events.Event(event.ReservationChanged, apexlog.Fields{
+			"team": p.team, "reason": string(p.Reason), "reserved": p.Record.Reserved, "used": p.Record.Used,
+			"want": p.Record.Want, "offset": expected, "free": k.team(p.team).Free(k.limit(p.team)),
 		})
 	}
 	k.signal()
@@ -388,7 +417,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for team, a := range k.accounts {
-		a.Observe(k.team(team).Reserved(k.b.cfg.Name))
+		a.Observe(k.team(team).Record(k.b.cfg.Name), k.follow.next)
+		k.recover(team, a)
 	}
 }
 
@@ -453,12 +483,12 @@
 	var plans []plan
 	for _, team := range slices.Sorted(maps.Keys(k.accounts)) {
 		a := k.accounts[team]
-		if a.Reserved() == a.Used() {
+		if _, inherited := a.Inherited(); inherited || a.Reserved() == a.Used() {
 			continue
 		}
-		r := a.Close()
-		a.Writing(r)
-		plans = append(plans, plan{team: team, Plan: escrow.Plan{Record: r, Lower: true}})
+		p := a.Close(k.b.fleet.timeOfDay())
+		a.Writing(k.b.cfg.Now(), k.follow.next, p.Record)
+		plans = append(plans, plan{team: team, Plan: p})
 	}
 	return plans
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -40,14 +40,15 @@
 	// sends counts the sends, arrivals those that reached a server, and runs those that may have run.
 	sends, arrivals, runs int
 	excluded              []string
-	begun                 bool
-	lastEvent             string
-	events                int64
-	firstEvent            time.Time
-	worstGap              time.Duration
-	lastEventAt           time.Time
-	outcome               string
-	last                  placement.Placement
+	// begun is set when the head of a stream was passed on, delivered when any answer of success was.
+	begun, delivered bool
+	lastEvent        string
+	events           int64
+	firstEvent       time.Time
+	worstGap         time.Duration
+	lastEventAt      time.Time
+	outcome          string
+	last             placement.Placement
 }
 
 // verdict is what follows from an attempt.
@@ -185,6 +186,7 @@
 		return verdict{outcome: placement.Failed, arrived: true, answer: answer, body: body, err: errors.New("the server failed")}
 	}
 	x.stamp()
+	x.delivered = true
 	x.pass(answer, body)
 	return verdict{outcome: placement.Answered, arrived: true, done: true}
 }
@@ -233,7 +235,7 @@
 	if x.begun {
 		return true
 	}
-	x.begun = true
+	x.begun, x.delivered = true, true
 	return x.reply.Begin(answer) == nil
 }
 
@@ -310,9 +312,9 @@
 	}
 }
 
-// usedTokens is what the team pays: the prompt once, and what was delivered.
+// usedTokens is what the team pays: the prompt once, and what was delivered. An answer that never began costs nothing.
 func (x *exchange) usedTokens() int64 {
-	if x.runs == 0 {
+	if !x.delivered {
 		return 0
 	}
 	perEvent := x.catalog.Service(x.service).EventTokens
@@ -347,6 +349,7 @@
 	now := x.g.cfg.Now()
 	fields := x.fields(now)
 	fields["outcome"], fields["server"], fields["sends"], fields["runs"] = x.outcome, x.last.Server.ID, x.sends, x.runs
+	fields["tokens"], fields["held"] = x.usedTokens(), x.held
 	fields["events"], fields["rank"], fields["candidates"] = x.events, x.last.Rank, x.last.Candidates
 	if !x.firstEvent.IsZero() {
 		fields["firstMs"] = x.firstEvent.Sub(x.Arrived).Milliseconds()
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,18 +15,28 @@
 )
 
 const (
-	// digestInterval is how often an entry VM says that it lives, and reads what the others say.
+	// digestInterval is how often an entry VM says that it lives.
 	digestInterval = time.Second
 	// memberTimeout is how long an entry VM counts after its last digest.
 	memberTimeout = 5 * time.Second
+	// clockError covers the time that a digest takes to be read, and the differences of good clocks.
+	clockError = firstDigestRead + 400*time.Millisecond
+	// minClocks is the number of other entry VMs whose time of day has to be known before it is trusted.
+	minClocks = 2
+	// digestRead is the pause between reads of the others' digests; it is shorter while their clocks aren't known.
+	digestRead      = 500 * time.Millisecond
+	firstDigestRead = 100 * time.Millisecond
+	firstDigests    = 3 * time.Second
 )
 
 // digest is what an entry VM tells the others.
 type digest struct {
-	Incarnation string  `json:"incarnation"`
-	Count       uint64  `json:"count"`
-	Leaving     bool    `json:"leaving,omitempty"`
-	Crashes     []crash `json:"crashes,omitempty"`
+	Incarnation string `json:"incarnation"`
+	Count       uint64 `json:"count"`
+	// Time is the author's time of day in Unix milliseconds.
+	Time    int64   `json:"time"`
+	Leaving bool    `json:"leaving,omitempty"`
+	Crashes []crash `json:"crashes,omitempty"`
 }
 
 // fleetController tells the other entry VMs about this one and keeps what they tell.
@@ -34,23 +45,21 @@
 	follow   follower
 	suspects *suspectController
 	sent     uint64
+	started  time.Time
 
 	mu      sync.Mutex
 	members map[string]time.Time
+	// offsets are the times of day of the others against the own one.
+	offsets map[string]time.Duration
 	// away is set while the log doesn't answer; the members are kept as they were.
 	away bool
 }
 
 func newFleetController(cfg Config, suspects *suspectController) *fleetController {
-	f := &fleetController{cfg: cfg, suspects: suspects, members: map[string]time.Time{}}
+	f := &fleetController{cfg: cfg, suspects: suspects, members: map[string]time.Time{}, offsets: map[string]time.Duration{}, started: cfg.Now()}
 	f.follow = follower{
-		cfg: cfg, partition: keyed.Partition{Stream: keyed.Fleet}, interval: digestInterval, apply: f.apply,
-		snapshot: func(records []keyed.Record) {
-			for _, r := range records {
-				f.apply(r)
-			}
-		},
-		lost: func(time.Time) { f.setAway(true) }, regained: func(time.Time) { f.setAway(false) },
+		cfg: cfg, partition: keyed.Partition{Stream: keyed.Fleet}, apply: f.apply,
+		snapshot: f.snapshot, lost: func(time.Time) { f.setAway(true) }, regained: func(time.Time) { f.setAway(false) },
 	}
 	return f
 }
@@ -58,11 +67,19 @@
 func (f *fleetController) loop(ctx context.Context) error {
 	done := make(chan error, 1)
 	go func() { done <- f.runAnnounce(ctx) }()
+	f.follow.pace = f.readPause
 	err := f.follow.loop(ctx)
 	<-done
 	return err
 }
 
+func (f *fleetController) readPause() time.Duration {
+	if f.cfg.Now().Sub(f.started) < firstDigests {
+		return firstDigestRead
+	}
+	return digestRead
+}
+
 // runAnnounce writes the digest until ctx ends. A digest that fails isn't repeated: the next one says the same.
 func (f *fleetController) runAnnounce(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -75,7 +92,7 @@
 func (f *fleetController) announce(ctx context.Context, leaving bool) error {
 	f.sent++
 	value, err := json.Marshal(digest{
-		Incarnation: f.cfg.Incarnation, Count: f.sent, Leaving: leaving, Crashes: f.suspects.own(),
+		Incarnation: f.cfg.Incarnation, Count: f.sent, Time: f.cfg.Now().UnixMilli(), Leaving: leaving, Crashes: f.suspects.own(),
 	})
 	if err != nil {
 		return eris.Wrap(err, "encode digest")
@@ -96,7 +113,16 @@
 	}
 }
 
-func (f *fleetController) apply(r keyed.Record) {
+// snapshot takes the last words of all entry VMs. They say nothing about the time now.
+func (f *fleetController) snapshot(records []keyed.Record) {
+	for _, r := range records {
+		f.take(r, false)
+	}
+}
+
+func (f *fleetController) apply(r keyed.Record) { f.take(r, true) }
+
+func (f *fleetController) take(r keyed.Record, fresh bool) {
 	var d digest
 	if err := json.Unmarshal(r.Value, &d); err != nil {
 		f.cfg.Events.Event(event.RecordSkipped, apexlog.Fields{"key": r.Key, "offset": r.Offset, "error": err.Error()})
@@ -106,7 +132,11 @@
 	if d.Leaving {
 		delete(f.members, r.Key)
 	} else {
-		f.members[r.Key] = f.cfg.Now()
+		now := f.cfg.Now()
+		f.members[r.Key] = now
+		if fresh && r.Key != f.cfg.Name {
+			f.offsets[r.Key] = time.UnixMilli(d.Time).Sub(now.Round(0))
+		}
 	}
 	f.mu.Unlock()
 	if r.Key != f.cfg.Name {
@@ -127,8 +157,41 @@
 			n++
 		default:
 			delete(f.members, name)
+			delete(f.offsets, name)
 			f.cfg.Events.Event(event.PeerGone, apexlog.Fields{"peer": name, "age": now.Sub(seen).String()})
 		}
 	}
 	return n + 1
 }
+
+// offset is the median of the fleet's times of day against the own one, so that a minority of clocks that jump is
+// without effect. The caller holds mu.
+func (f *fleetController) offset() time.Duration {
+	all := []time.Duration{0}
+	for _, o := range f.offsets {
+		all = append(all, o)
+	}
+	slices.Sort(all)
+	return all[(len(all)-1)/2]
+}
+
+// timeOfDay is the fleet's time of day. It is never ahead of it by more than the difference of good clocks.
+func (f *fleetController) timeOfDay() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cfg.Now().Round(0).Add(f.offset())
+}
+
+// ageAtStart is the most that can have passed between a time of the fleet and the start of this process. It is unknown
+// until enough other entry VMs have told their time.
+func (f *fleetController) ageAtStart(t time.Time) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.offsets) < minClocks || 2*len(f.offsets) < len(f.members) {
+		return 0, false
+	}
+	now := f.cfg.Now()
+	start := now.Round(0).Add(f.offset() - now.Sub(f.started))
+	age := start.Sub(t) + clockError
+	return age, age > 0
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -23,8 +23,9 @@
 type follower struct {
 	cfg       Config
 	partition keyed.Partition
-	// wait is how long a read waits for a record; interval is the pause between reads.
-	wait, interval time.Duration
+	// wait is how long a read waits for a record; pace is the pause between reads, nil for none.
+	wait time.Duration
+	pace func() time.Duration
 	// snapshot takes the newest records of all keys; what isn't among them doesn't exist.
 	snapshot func(records []keyed.Record)
 	apply    func(r keyed.Record)
@@ -38,12 +39,15 @@
 
 func (f *follower) loop(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pauseFor := f.interval
+		pauseFor := minInterval
+		if f.pace != nil {
+			pauseFor = f.pace()
+		}
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.fail(err)
 			pauseFor = retryPause + rand.N(retryPause)
 		}
-		pause(ctx, max(pauseFor, minInterval))
+		pause(ctx, pauseFor)
 	}
 	return ctx.Err()
 }
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -13,9 +13,8 @@
 )
 
 const (
-	// serversInterval is the pause between reads of the servers' entries. Heartbeats come all the time, so that a read
-	// that waits would return at once.
-	serversInterval = 300 * time.Millisecond
+	// serversWait is how long a read waits for a change of the servers' entries.
+	serversWait = time.Second
 	// returnGrace is how long after the return of the log a missing entry may still come back.
 	returnGrace = 2 * time.Second
 )
@@ -43,7 +42,7 @@
 		missing: map[string]bool{}, machines: func() int { return 1 },
 	}
 	s.follow = follower{
-		cfg: cfg, partition: keyed.Partition{Stream: keyed.Servers}, interval: serversInterval,
+		cfg: cfg, partition: keyed.Partition{Stream: keyed.Servers}, wait: serversWait,
 		apply: s.apply, snapshot: s.snapshot, lost: s.lost, regained: s.regained,
 	}
 	return s
