--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -65,9 +65,10 @@
 }
 
 // NewAccount returns the account of an entry VM that starts. All that its life before reserved counts as used, until
-// Recover says otherwise.
+// Recover says otherwise; its rate is where the new one begins, since the same callers come back.
 func NewAccount(now time.Time, holder string, r Record) *Account {
 	a := &Account{holder: holder, confirmed: r, sentAt: now, spent: r.Reserved}
+	a.rate, a.rateAt = float64(r.Rate)*100/pace, now
 	if r.Reserved > r.Base {
 		a.inherited = &r
 	}
@@ -132,6 +133,19 @@
 // Reserved is what the store has confirmed.
 func (a *Account) Reserved() int64 { return a.confirmed.Reserved }
 
+// UsableAt is when tokens can be admitted without another record, zero if never.
+func (a *Account) UsableAt(now time.Time, tokens int64) time.Time {
+	need := a.spent + a.held + tokens
+	age, ok := a.confirmed.ageOf(need)
+	if !ok || len(a.writes) > 0 && a.idle() < tokens {
+		return time.Time{}
+	}
+	if at := a.sentAt.Add(age); at.After(now) {
+		return at
+	}
+	return now
+}
+
 // Admit holds tokens for a call.
 func (a *Account) Admit(now time.Time, tokens int64) bool {
 	if left := a.Left(now); left < tokens {
@@ -262,7 +276,10 @@
 }
 
 // Close returns everything that isn't used or held.
-func (a *Account) Close(at time.Time) Plan {
+func (a *Account) Close(now, at time.Time) Plan {
+	a.decay(now)
 	used := a.spent + a.held
-	return Plan{Reason: Close, Record: Record{Reserved: used, Base: used, Used: a.spent, At: at.UnixMilli()}}
+	return Plan{Reason: Close, Record: Record{
+		Reserved: used, Base: used, Used: a.spent, At: at.UnixMilli(), Rate: int64(a.rate * pace / 100),
+	}}
 }
--- a/core/escrow/book.go
+++ b/core/escrow/book.go
@@ -23,15 +23,35 @@
 	Want int64 `json:"want,omitempty"`
 }
 
+const (
+	// slowAge is the age of a record from which its usable part grows fastGrowth times faster. Processes that die start
+	// again sooner than that, and outages of the store last longer.
+	slowAge    = 3 * time.Second
+	fastGrowth = 4
+)
+
 // Bound is the most that the holder can have used when the record is age old.
 func (r Record) Bound(age time.Duration) int64 {
-	grown := float64(r.Rate) * max(age, 0).Seconds()
+	age = max(age, 0)
+	grown := float64(r.Rate) * (age + (fastGrowth-1)*max(age-slowAge, 0)).Seconds()
 	if grown > float64(r.Reserved) {
 		return r.Reserved
 	}
 	return min(r.Reserved, r.Base+r.Burst+int64(grown))
 }
 
+// ageOf is the age at which Bound reaches a number of tokens.
+func (r Record) ageOf(tokens int64) (time.Duration, bool) {
+	if tokens > r.Reserved || r.Rate <= 0 {
+		return 0, tokens <= r.Base+r.Burst && tokens <= r.Reserved
+	}
+	seconds := max(float64(tokens-r.Base-r.Burst)/float64(r.Rate), 0)
+	if slow := slowAge.Seconds(); seconds > slow {
+		seconds = slow + (seconds-slow)/fastGrowth
+	}
+	return time.Duration(seconds * float64(time.Second)), true
+}
+
 func (r Record) idle() int64 { return max(r.Reserved-r.Base, 0) }
 
 // Book is the fold of all records of one team.
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -36,6 +36,8 @@
 	rateParts  = 60
 	// scarceTokens is the reserve for each entry VM that is worth keeping.
 	scarceTokens = 12_000
+	// eagerAccounts bounds the accounts that a process opens before the first call of their teams.
+	eagerAccounts = 256
 	// conflictTries bounds the appends of one look that lose against other entry VMs.
 	conflictTries = 6
 	// reserveRetry is when a repeat may find tokens that are reserved elsewhere now.
@@ -58,6 +60,9 @@
 	follow follower
 	wake   chan struct{}
 
+	// opened is set when the accounts of the first configuration were made.
+	opened bool
+
 	mu    sync.Mutex
 	ready bool
 	// away is set while the log doesn't answer.
@@ -275,7 +280,14 @@
 func (k *book) refuse(id, team string, tokens int64) *refusal.Error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	e := refusal.New(refusal.BudgetUnavailable, "no tokens could be reserved").After(k.b.cfg.Now().Add(reserveRetry))
+	now := k.b.cfg.Now()
+	retryAt := now.Add(reserveRetry)
+	if k.ready {
+		if at := k.account(team).UsableAt(now, tokens); at.After(retryAt) {
+			retryAt = at
+		}
+	}
+	e := refusal.New(refusal.BudgetUnavailable, "no tokens could be reserved").After(retryAt)
 	return k.refused(id, team, tokens, e)
 }
 
@@ -307,7 +319,7 @@
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		if !k.ready || k.wants() {
+		if !k.opened || k.wants() {
 			if err := k.renew(ctx); err != nil && ctx.Err() == nil {
 				k.follow.fail(err)
 				pause(ctx, retryPause)
@@ -339,6 +351,10 @@
 		if err := k.follow.step(ctx); err != nil {
 			return err
 		}
+		if !k.opened {
+			k.opened = k.b.catalogs.now() != nil
+			k.open()
+		}
 		k.observe()
 		plans := k.plan()
 		if len(plans) == 0 {
@@ -353,6 +369,25 @@
 	return nil
 }
 
+// open makes accounts for the teams of the configuration before their first call, so that they have a reserve when the
+// store goes away early.
+func (k *book) open() {
+	c := k.b.catalogs.now()
+	if c == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, name := range c.Teams() {
+		if len(k.accounts) >= eagerAccounts {
+			return
+		}
+		if c.Team(name).Limited && k.b.bookOf(name) == k {
+			k.account(name)
+		}
+	}
+}
+
 type plan struct {
 	team string
 	escrow.Plan
@@ -486,7 +521,7 @@
 		if _, inherited := a.Inherited(); inherited || a.Reserved() == a.Used() {
 			continue
 		}
-		p := a.Close(k.b.fleet.timeOfDay())
+		p := a.Close(k.b.cfg.Now(), k.b.fleet.timeOfDay())
 		a.Writing(k.b.cfg.Now(), k.follow.next, p.Record)
 		plans = append(plans, plan{team: team, Plan: p})
 	}
