--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -20,7 +20,7 @@
 	// minReturn is the least number of tokens that is worth a write.
 	minReturn = 1000
 	// pace is how much faster than the recent rate the usable part grows without a confirmation, in hundredths.
-	pace = 130
+	pace = 180
 	// refreshAge is when an unchanged record is written again, so that little is lost if the process dies.
 	refreshAge = 500 * time.Millisecond
 )
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -32,7 +32,7 @@
 	// maxBurst is about the size of a large request; burstShare is the part of a budget, in hundredths, that the bursts
 	// of all entry VMs may have. rateParts is the number of seconds in which idle accounts would use up a budget.
 	maxBurst   = 10_000
-	burstShare = 5
+	burstShare = 8
 	rateParts  = 60
 	// scarceTokens is the reserve for each entry VM that is worth keeping.
 	scarceTokens = 12_000
