--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -19,17 +19,19 @@
 	highShare = 135
 	// minReturn is the least number of tokens that is worth a write.
 	minReturn = 1000
-	// pace is how much faster than the recent rate the usable part grows without a confirmation, in hundredths.
-	pace = 180
+	// pace is the growth of the usable part without a confirmation against the recent rate, in hundredths.
+	pace = 70
+	// requestTokens is the size of a large request.
+	requestTokens = 9000
 	// refreshAge is when an unchanged record is written again, so that little is lost if the process dies.
-	refreshAge = 500 * time.Millisecond
+	refreshAge = 400 * time.Millisecond
 )
 
 // Floors are the least amounts of an account, whatever its recent use.
 type Floors struct {
 	// Want is the number of unused tokens that an idle account keeps.
 	Want int64
-	// Burst is usable at once after a confirmation.
+	// Burst is the most that is usable at once after a confirmation, but for a single larger call.
 	Burst int64
 	// Rate is the least growth of the usable part, in tokens a second.
 	Rate int64
@@ -218,7 +220,7 @@
 func (a *Account) Plan(now, at time.Time, f Floors, limit int64, book *Book) Plan {
 	want := a.want(now, f)
 	reason, reserved := a.decide(now, want, f, limit, book)
-	burst := max(f.Burst, a.shortage)
+	burst := max(min(f.Burst, a.burst()), a.shortage)
 	a.shortage = 0
 	if reason == None {
 		return Plan{}
@@ -229,6 +231,11 @@
 	}}
 }
 
+// burst covers the variation of the use between two records: requests come at random, and each has about this size.
+func (a *Account) burst() int64 {
+	return requestTokens/4 + int64(math.Sqrt(a.rate*requestTokens))
+}
+
 // Wants reports whether Plan would ask for a write.
 func (a *Account) Wants(now time.Time, f Floors, limit int64, book *Book) bool {
 	reason, _ := a.decide(now, a.want(now, f), f, limit, book)
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -24,16 +24,16 @@
 
 const (
 	// planInterval is how often the reservations are looked at without a request that lacks tokens.
-	planInterval = 400 * time.Millisecond
+	planInterval = 200 * time.Millisecond
 	// reserveWait bounds how long a call waits for a larger reservation.
 	reserveWait = 250 * time.Millisecond
 	// floorParts is the number of parts of a budget of which all entry VMs together hold one when idle.
 	floorParts = 8
-	// maxBurst is about the size of a large request; burstShare is the part of a budget, in hundredths, that the bursts
+	// maxBurst bounds what is usable between two records; burstShare is the part of a budget, in hundredths, that the bursts
 	// of all entry VMs may have. rateParts is the number of seconds in which idle accounts would use up a budget.
-	maxBurst   = 10_000
+	maxBurst   = 60_000
 	burstShare = 8
-	rateParts  = 60
+	rateParts  = 200
 	// scarceTokens is the reserve for each entry VM that is worth keeping.
 	scarceTokens = 12_000
 	// eagerAccounts bounds the accounts that a process opens before the first call of their teams.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -20,12 +20,12 @@
 	// memberTimeout is how long an entry VM counts after its last digest.
 	memberTimeout = 5 * time.Second
 	// clockError covers the time that a digest takes to be read, and the differences of good clocks.
-	clockError = firstDigestRead + 400*time.Millisecond
+	clockError = firstDigestRead + 200*time.Millisecond
 	// minClocks is the number of other entry VMs whose time of day has to be known before it is trusted.
 	minClocks = 2
 	// digestRead is the pause between reads of the others' digests; it is shorter while their clocks aren't known.
 	digestRead      = 500 * time.Millisecond
-	firstDigestRead = 100 * time.Millisecond
+	firstDigestRead = 60 * time.Millisecond
 	firstDigests    = 3 * time.Second
 )
 
