escrow: usable part grows slowly only near the end of a budget

Cause: after a power loss of all entry VMs, each exhausted team was a few seconds of its traffic short of its budget. Ruled out: shorter refresh alone (flat).

--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -19,8 +19,11 @@
 	highShare = 135
 	// minReturn is the least number of tokens that is worth a write.
 	minReturn = 1000
-	// pace is the growth of the usable part without a confirmation against the recent rate, in hundredths.
-	pace = 70
+	// ampleShare of a budget, in hundredths, may be used before its end is near. Until then the usable part grows at
+	// amplePace of the recent rate without a confirmation, afterwards at endPace, so that a death leaves little unusable.
+	ampleShare = 60
+	amplePace  = 150
+	endPace    = 25
 	// requestTokens is the size of a large request.
 	requestTokens = 9000
 	// refreshAge is when an unchanged record is written again, so that little is lost if the process dies.
@@ -70,7 +73,7 @@
 // Recover says otherwise; its rate is where the new one begins, since the same callers come back.
 func NewAccount(now time.Time, holder string, r Record) *Account {
 	a := &Account{holder: holder, confirmed: r, sentAt: now, spent: r.Reserved}
-	a.rate, a.rateAt = float64(r.Rate)*100/pace, now
+	a.rate, a.rateAt = float64(r.Rate), now
 	if r.Reserved > r.Base {
 		a.inherited = &r
 	}
@@ -227,10 +230,18 @@
 	}
 	return Plan{Reason: reason, Record: Record{
 		Reserved: reserved, Base: a.spent + a.held, Used: a.spent, Want: want, At: at.UnixMilli(), Burst: burst,
-		Rate: max(f.Rate, int64(a.rate*pace/100)),
+		Slow: a.slow(limit, book), Rate: max(f.Rate, int64(a.rate)),
 	}}
 }
 
+// slow is the growth of the usable part while the store is expected to answer.
+func (a *Account) slow(limit int64, book *Book) int64 {
+	if book.used*100 < limit*ampleShare {
+		return int64(a.rate * amplePace / 100)
+	}
+	return int64(a.rate * endPace / 100)
+}
+
 // burst covers the variation of the use between two records: requests come at random, and each has about this size.
 func (a *Account) burst() int64 {
 	return requestTokens/4 + int64(math.Sqrt(a.rate*requestTokens))
@@ -287,6 +298,6 @@
 	a.decay(now)
 	used := a.spent + a.held
 	return Plan{Reason: Close, Record: Record{
-		Reserved: used, Base: used, Used: a.spent, At: at.UnixMilli(), Rate: int64(a.rate * pace / 100),
+		Reserved: used, Base: used, Used: a.spent, At: at.UnixMilli(), Rate: int64(a.rate),
 	}}
 }
--- a/core/escrow/book.go
+++ b/core/escrow/book.go
@@ -16,24 +16,28 @@
 	Used int64 `json:"used"`
 	// At is the fleet's time of day when the record was written, in Unix milliseconds.
 	At int64 `json:"at"`
-	// Burst is usable beyond Base at once; Rate is added each second.
+	// Burst is usable beyond Base at once; Slow is added each second until the record is slowAge old.
 	Burst int64 `json:"burst,omitempty"`
-	Rate  int64 `json:"rate,omitempty"`
+	Slow  int64 `json:"slow,omitempty"`
+	// Rate is the recent use in tokens a second. A record that is older than slowAge grows by a multiple of it.
+	Rate int64 `json:"rate,omitempty"`
 	// Want is the number of unused tokens that the holder would like to have.
 	Want int64 `json:"want,omitempty"`
 }
 
 const (
-	// slowAge is the age of a record from which its usable part grows fastGrowth times faster. Processes that die start
-	// again sooner than that, and outages of the store last longer.
-	slowAge    = 3 * time.Second
-	fastGrowth = 4
+	// slowAge is the age of a record from which its usable part grows fast. Processes that die start again sooner than
+	// that, and outages of the store last longer.
+	slowAge = 2700 * time.Millisecond
+	// fastGrowth is the growth after slowAge against the recent rate.
+	fastGrowth = 5
 )
 
 // Bound is the most that the holder can have used when the record is age old.
 func (r Record) Bound(age time.Duration) int64 {
-	age = max(age, 0)
-	grown := float64(r.Rate) * (age + (fastGrowth-1)*max(age-slowAge, 0)).Seconds()
+	slow := min(max(age, 0), slowAge).Seconds()
+	fast := max(age-slowAge, 0).Seconds()
+	grown := float64(r.Slow)*slow + fastGrowth*float64(r.Rate)*fast
 	if grown > float64(r.Reserved) {
 		return r.Reserved
 	}
@@ -42,14 +46,20 @@
 
 // ageOf is the age at which Bound reaches a number of tokens.
 func (r Record) ageOf(tokens int64) (time.Duration, bool) {
-	if tokens > r.Reserved || r.Rate <= 0 {
-		return 0, tokens <= r.Base+r.Burst && tokens <= r.Reserved
+	if tokens > r.Reserved {
+		return 0, false
 	}
-	seconds := max(float64(tokens-r.Base-r.Burst)/float64(r.Rate), 0)
-	if slow := slowAge.Seconds(); seconds > slow {
-		seconds = slow + (seconds-slow)/fastGrowth
+	need := float64(tokens - r.Base - r.Burst)
+	if need <= 0 {
+		return 0, true
 	}
-	return time.Duration(seconds * float64(time.Second)), true
+	if slow := float64(r.Slow) * slowAge.Seconds(); need > slow {
+		if r.Rate <= 0 {
+			return 0, false
+		}
+		return slowAge + time.Duration((need-slow)/(fastGrowth*float64(r.Rate))*float64(time.Second)), true
+	}
+	return time.Duration(need / float64(r.Slow) * float64(time.Second)), true
 }
 
 func (r Record) idle() int64 { return max(r.Reserved-r.Base, 0) }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -17,6 +17,8 @@
 const (
 	// digestInterval is how often an entry VM says that it lives.
 	digestInterval = time.Second
+	// minDigestInterval bounds the digests that answer others.
+	minDigestInterval = 200 * time.Millisecond
 	// memberTimeout is how long an entry VM counts after its last digest.
 	memberTimeout = 5 * time.Second
 	// clockError covers the time that a digest takes to be read, and the differences of good clocks.
@@ -46,17 +48,22 @@
 	suspects *suspectController
 	sent     uint64
 	started  time.Time
+	// soon is signalled when another entry VM has started and waits for the digests of the others.
+	soon chan struct{}
 
 	mu      sync.Mutex
 	members map[string]time.Time
 	// offsets are the times of day of the others against the own one.
 	offsets map[string]time.Duration
+	// lives are the incarnations of the others.
+	lives map[string]string
 	// away is set while the log doesn't answer; the members are kept as they were.
 	away bool
 }
 
 func newFleetController(cfg Config, suspects *suspectController) *fleetController {
-	f := &fleetController{cfg: cfg, suspects: suspects, members: map[string]time.Time{}, offsets: map[string]time.Duration{}, started: cfg.Now()}
+	f := &fleetController{cfg: cfg, suspects: suspects, members: map[string]time.Time{}, offsets: map[string]time.Duration{}, started: cfg.Now(),
+		soon: make(chan struct{}, 1), lives: map[string]string{}}
 	f.follow = follower{
 		cfg: cfg, partition: keyed.Partition{Stream: keyed.Fleet}, apply: f.apply,
 		snapshot: f.snapshot, lost: func(time.Time) { f.setAway(true) }, regained: func(time.Time) { f.setAway(false) },
@@ -84,11 +91,23 @@
 func (f *fleetController) runAnnounce(ctx context.Context) error {
 	for ctx.Err() == nil {
 		_ = f.announce(ctx, false)
-		pause(ctx, digestInterval)
+		pause(ctx, minDigestInterval)
+		f.awaitNext(ctx)
 	}
 	return ctx.Err()
 }
 
+// awaitNext waits until the next digest is due, or another entry VM has started.
+func (f *fleetController) awaitNext(ctx context.Context) {
+	timer := time.NewTimer(digestInterval - minDigestInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.soon:
+	}
+}
+
 func (f *fleetController) announce(ctx context.Context, leaving bool) error {
 	f.sent++
 	value, err := json.Marshal(digest{
@@ -135,6 +154,7 @@
 		now := f.cfg.Now()
 		f.members[r.Key] = now
 		if fresh && r.Key != f.cfg.Name {
+			f.meet(r.Key, d.Incarnation)
 			f.offsets[r.Key] = time.UnixMilli(d.Time).Sub(now.Round(0))
 		}
 	}
@@ -144,6 +164,18 @@
 	}
 }
 
+// meet answers an entry VM that has started with a digest. The caller holds mu.
+func (f *fleetController) meet(name, incarnation string) {
+	if f.lives[name] == incarnation {
+		return
+	}
+	f.lives[name] = incarnation
+	select {
+	case f.soon <- struct{}{}:
+	default:
+	}
+}
+
 // count is the number of entry VMs that share the rules of the fleet, this one included.
 func (f *fleetController) count() int {
 	f.mu.Lock()
