--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -59,8 +59,8 @@
 	spent, held int64
 	rate        float64
 	rateAt      time.Time
-	// shortage is the largest amount that a waiting call lacks.
-	shortage int64
+	// waiting is the sum of tokens of the calls that wait for them.
+	waiting int64
 }
 
 type write struct {
@@ -153,14 +153,19 @@
 
 // Admit holds tokens for a call.
 func (a *Account) Admit(now time.Time, tokens int64) bool {
-	if left := a.Left(now); left < tokens {
-		a.shortage = max(a.shortage, tokens)
+	if a.Left(now) < tokens {
 		return false
 	}
 	a.held += tokens
 	return true
 }
 
+// Await notes that a call waits for tokens; Leave ends that.
+func (a *Account) Await(tokens int64) { a.waiting += tokens }
+
+// Leave notes that a call waits no more.
+func (a *Account) Leave(tokens int64) { a.waiting -= tokens }
+
 // Settle ends the hold of a call that used some of its tokens.
 func (a *Account) Settle(now time.Time, held, used int64) {
 	used = min(max(used, 0), held)
@@ -223,8 +228,7 @@
 func (a *Account) Plan(now, at time.Time, f Floors, limit int64, book *Book) Plan {
 	want := a.want(now, f)
 	reason, reserved := a.decide(now, want, f, limit, book)
-	burst := max(min(f.Burst, a.burst()), a.shortage)
-	a.shortage = 0
+	burst := max(min(f.Burst, a.burst()), a.waiting)
 	if reason == None {
 		return Plan{}
 	}
@@ -257,15 +261,15 @@
 	target := a.target(want, f, limit, book)
 	idle := a.idle()
 	free := max(book.Free(limit), 0)
-	lack := max(a.shortage-idle, 0)
+	lack := max(a.waiting-idle, 0)
 	switch {
-	case lack > 0 && lack <= free:
+	case lack > 0 && free > 0:
 		return Raise, a.confirmed.Reserved + min(max(target-idle, lack), free)
 	case idle*100 < target*lowShare && free > 0 && target-idle >= min(minReturn, free):
 		return Raise, a.confirmed.Reserved + min(target-idle, free)
 	case idle*100 > target*highShare && idle-target > minReturn && len(a.writes) == 0:
 		return Return, a.confirmed.Reserved - (idle - target)
-	case a.shortage > 0 && lack == 0 || a.stale(now):
+	case a.waiting > max(a.Left(now), 0) && a.waiting <= idle || a.stale(now):
 		return Refresh, a.confirmed.Reserved
 	}
 	return None, 0
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -69,6 +69,8 @@
 	away     bool
 	teams    map[string]*escrow.Book
 	accounts map[string]*escrow.Account
+	// begun and ended are the numbers of the last looks at the ledger that began and ended.
+	begun, ended uint64
 	// changed is closed and replaced whenever accounts or books have changed.
 	changed chan struct{}
 }
@@ -104,10 +106,7 @@
 
 func (b *budgetController) loaded() bool {
 	for _, k := range b.books {
-		k.mu.Lock()
-		ready := k.ready
-		k.mu.Unlock()
-		if !ready {
+		if !k.isReady() {
 			return false
 		}
 	}
@@ -126,29 +125,31 @@
 		return nil
 	}
 	k := b.bookOf(team.Name)
+	if !k.isReady() {
+		return refusal.New(refusal.NotReady, "the ledger isn't read yet").After(b.cfg.Now().Add(reserveRetry))
+	}
+	admitted, mark := k.admit(team.Name, tokens)
+	if admitted {
+		return nil
+	}
+	defer k.leave(team.Name, tokens)
 	if latest := b.cfg.Now().Add(reserveWait); until.After(latest) {
 		until = latest
 	}
+	timer := time.NewTimer(until.Sub(b.cfg.Now()))
+	defer timer.Stop()
 	for {
-		admitted, changed := k.admit(team.Name, tokens)
-		if admitted {
+		admitted, changed, look := k.retry(team.Name, tokens, mark)
+		switch {
+		case admitted:
 			return nil
-		}
-		now := b.cfg.Now()
-		if !now.Before(until) || k.unreachable() {
+		case look || !b.cfg.Now().Before(until):
 			return k.refuse(id, team.Name, tokens)
 		}
-		if refused := k.exhausted(id, team.Name, tokens); refused != nil {
-			return refused
-		}
-		timer := time.NewTimer(until.Sub(now))
 		select {
 		case <-changed:
 		case <-timer.C:
 		case <-ctx.Done():
-		}
-		timer.Stop()
-		if ctx.Err() != nil {
 			return refusal.New(refusal.CallerGone, "the caller left while tokens were reserved")
 		}
 	}
@@ -183,6 +184,12 @@
 	k.signal()
 }
 
+func (k *book) isReady() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ready
+}
+
 func (k *book) poke() {
 	select {
 	case k.wake <- struct{}{}:
@@ -238,49 +245,46 @@
 	return 0
 }
 
-func (k *book) admit(team string, tokens int64) (admitted bool, changed <-chan struct{}) {
+// admit holds tokens for a call or notes that it waits; mark is the number of looks at the ledger that have begun.
+func (k *book) admit(team string, tokens int64) (admitted bool, mark uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.ready {
-		return false, k.changed
-	}
+	defer k.poke()
 	a, now := k.account(team), k.b.cfg.Now()
 	if a.Admit(now, tokens) {
-		if a.Wants(now, k.floors(team), k.limit(team), k.team(team)) {
-			k.poke()
-		}
-		return true, nil
+		return true, 0
 	}
-	k.poke()
-	return false, k.changed
+	a.Await(tokens)
+	return false, k.begun
 }
 
-// exhausted refuses a call that fits in no part of the budget, whoever holds it.
-func (k *book) exhausted(id, team string, tokens int64) *refusal.Error {
+// retry tries again after a change. It reports whether waiting is no use: the log doesn't answer, or it was looked at
+// since the call came and has no tokens.
+func (k *book) retry(team string, tokens int64, mark uint64) (admitted bool, changed <-chan struct{}, hopeless bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.ready {
-		return nil
-	}
-	limit, used := k.limit(team), k.team(team).Used()
-	if limit-used >= tokens {
-		return nil
+	if k.ready && k.account(team).Admit(k.b.cfg.Now(), tokens) {
+		return true, nil, false
 	}
-	return k.refused(id, team, tokens, refusal.New(refusal.BudgetExhausted, "%d tokens of %d are used", used, limit))
+	looked := k.ended > mark && k.team(team).Free(k.limit(team)) < tokens
+	return false, k.changed, k.away || looked
 }
 
-// unreachable reports whether the log doesn't answer, so that waiting for tokens is no use.
-func (k *book) unreachable() bool {
+// leave notes that a call waits no more.
+func (k *book) leave(team string, tokens int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.away
+	k.account(team).Leave(tokens)
 }
 
-// refuse refuses a call whose tokens are reserved elsewhere or can't be reserved now.
+// refuse refuses a call whose tokens are used, reserved elsewhere or can't be reserved now.
 func (k *book) refuse(id, team string, tokens int64) *refusal.Error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.b.cfg.Now()
+	if limit, used := k.limit(team), k.team(team).Used(); limit-used < tokens {
+		return k.refused(id, team, tokens, refusal.New(refusal.BudgetExhausted, "%d tokens of %d are used", used, limit))
+	}
 	retryAt := now.Add(reserveRetry)
 	if k.ready {
 		if at := k.account(team).UsableAt(now, tokens); at.After(retryAt) {
@@ -347,7 +351,9 @@
 
 // renew reads the partition and appends what the accounts need, on the condition that nobody else appends first.
 func (k *book) renew(ctx context.Context) error {
+	defer k.endLook()
 	for range conflictTries {
+		k.beginLook()
 		if err := k.follow.step(ctx); err != nil {
 			return err
 		}
@@ -388,6 +394,20 @@
 	}
 }
 
+// beginLook and endLook count the looks at the ledger. The calls that wait try again after each.
+func (k *book) beginLook() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.begun++
+}
+
+func (k *book) endLook() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ended = k.begun
+	k.signal()
+}
+
 type plan struct {
 	team string
 	escrow.Plan
