--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -27,7 +27,7 @@
 	// requestTokens is the size of a large request.
 	requestTokens = 9000
 	// refreshAge is when an unchanged record is written again, so that little is lost if the process dies.
-	refreshAge = 400 * time.Millisecond
+	refreshAge = 450 * time.Millisecond
 )
 
 // Floors are the least amounts of an account, whatever its recent use.
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -24,7 +24,7 @@
 
 const (
 	// planInterval is how often the reservations are looked at without a request that lacks tokens.
-	planInterval = 200 * time.Millisecond
+	planInterval = 500 * time.Millisecond
 	// reserveWait bounds how long a call waits for a larger reservation.
 	reserveWait = 250 * time.Millisecond
 	// floorParts is the number of parts of a budget of which all entry VMs together hold one when idle.
@@ -249,12 +249,12 @@
 func (k *book) admit(team string, tokens int64) (admitted bool, mark uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	defer k.poke()
 	a, now := k.account(team), k.b.cfg.Now()
 	if a.Admit(now, tokens) {
 		return true, 0
 	}
 	a.Await(tokens)
+	k.poke()
 	return false, k.begun
 }
 
