entry: peers know of a quarantine before the caller is refused

Cause of TestCrashingRequestIsQuarantined being red beside load: the refusal went out while the peers were still being told, so that the caller's next try crashed a third engine through an entry VM that had heard of one crash only. Ruled out: the merge of entries (the later exchange quarantines).

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -96,7 +96,6 @@
 	RequestEnded   = Event{730, Info, "request ended"}
 	RequestRefused = Event{731, Info, "request refused"}
 	AttemptFailed  = Event{732, Info, "attempt failed"}
-	RequestRetried = Event{733, Info, "request sent again"}
 	LinesDropped   = Event{740, Warn, "log lines dropped"}
 )
 
@@ -127,7 +126,7 @@
 		ReservationChanged, ReservationRecovered, ReservationFailed, ReservationShort,
 		OrderUnknown, OrderWithdrawn, ChangeStopped, ChangeTakenBack, ChangeDone,
 		ServerCrashed, StreamResumed, StreamSuspended, RequestFailed, RequestQuarantine, MemoryFull,
-		ServerSeen, ServerGone, ServerPaused, RequestEnded, RequestRefused, AttemptFailed, RequestRetried, LinesDropped,
+		ServerSeen, ServerGone, ServerPaused, RequestEnded, RequestRefused, AttemptFailed, LinesDropped,
 		PeerUnreachable, PeerRejected, PeerGone,
 	}
 }
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -110,9 +110,11 @@
 		}
 	}
 	p.mu.Unlock()
+	var wg sync.WaitGroup
 	for _, m := range members {
-		p.wg.Go(func() { p.exchange(ctx, m.Author.VM, m.Addr) })
+		wg.Go(func() { p.exchange(ctx, m.Author.VM, m.Addr) })
 	}
+	wg.Wait()
 }
 
 func (p *peerController) start(ctx context.Context, vm string, addr netip.AddrPort) {
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -27,13 +27,20 @@
 	crashProbeTimeout = 500 * time.Millisecond
 	// crashProbePause is the time between two such questions.
 	crashProbePause = 30 * time.Millisecond
+	// tellTimeout bounds how long a refusal waits until the peers know of the quarantine.
+	tellTimeout = 2 * time.Second
 )
 
+// broadcaster tells all live peers what this entry VM knows, and returns when they have it or can't be reached.
+type broadcaster interface {
+	broadcast(ctx context.Context)
+}
+
 // suspectController keeps requests that crash backend servers away from them, and the retry budget.
 type suspectController struct {
 	cfg    Config
 	events *apexlog.Logger
-	peers  *peerController
+	peers  broadcaster
 
 	mu         sync.Mutex
 	quarantine *retry.Quarantine
@@ -45,7 +52,7 @@
 	wg       sync.WaitGroup
 }
 
-func newSuspectController(cfg Config, p *peerController, events *apexlog.Logger) *suspectController {
+func newSuspectController(cfg Config, p broadcaster, events *apexlog.Logger) *suspectController {
 	return &suspectController{
 		cfg:        cfg,
 		events:     events,
@@ -152,7 +159,13 @@
 	if state == retry.Quarantined {
 		s.events.Event(event.RequestQuarantine, apexlog.Fields{"fingerprint": a.r.fingerprint, "server": a.placement.Server})
 	}
-	if tell {
+	switch {
+	case state == retry.Quarantined:
+		// The caller sends the request again as soon as it is answered, to any entry VM.
+		ctx, cancel := context.WithTimeout(base, tellTimeout)
+		defer cancel()
+		s.peers.broadcast(ctx)
+	case tell:
 		s.wg.Go(func() { s.peers.broadcast(base) })
 	}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -88,6 +88,7 @@
 		}
 		if v.done {
 			x.outcome = string(v.outcome)
+			x.g.suspects.completed(x.Fingerprint)
 			return
 		}
 		x.logAttempt(p, v)
@@ -339,7 +340,7 @@
 		fields["status"] = v.answer.Status()
 	}
 	x.g.cfg.Events.Event(event.AttemptFailed, fields)
-	if v.outcome == placement.Broken && x.g.suspects != nil {
+	if v.outcome == placement.Broken {
 		x.g.suspects.broke(x.Fingerprint(), p.Server.ID)
 	}
 }
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -55,9 +55,13 @@
 }
 
 // completed clears a request that ran to its end.
-func (s *suspectController) completed(fingerprint string) {
+func (s *suspectController) completed(fingerprintOf func() string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.crashes) == 0 {
+		return
+	}
+	fingerprint := fingerprintOf()
 	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return c.Fingerprint == fingerprint })
 }
 
