--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -12,8 +12,8 @@
 	Horizon = 11 * time.Second
 	// rateWindow is the averaging time of the use of a team.
 	rateWindow = 4 * time.Second
-	// spread covers the variation of the use over the horizon, in hundredths.
-	spread = 110
+	// spread covers the variation of the use over the horizon, in hundredths; callers of entry VMs that stop come too.
+	spread = 200
 	// lowShare of the target is where more is asked for, highShare where tokens are returned, in hundredths.
 	lowShare  = 80
 	highShare = 135
@@ -59,6 +59,8 @@
 	spent, held int64
 	rate        float64
 	rateAt      time.Time
+	// usual is the rate before a planned stop began.
+	usual float64
 	// waiting is the sum of tokens of the calls that wait for them.
 	waiting int64
 }
@@ -297,11 +299,17 @@
 	a.writes = slices.DeleteFunc(a.writes, func(w write) bool { return w.at < end })
 }
 
+// Drain keeps the rate for the next life of the entry VM, before its callers go elsewhere.
+func (a *Account) Drain(now time.Time) {
+	a.decay(now)
+	a.usual = a.rate
+}
+
 // Close returns everything that isn't used or held.
 func (a *Account) Close(now, at time.Time) Plan {
 	a.decay(now)
 	used := a.spent + a.held
 	return Plan{Reason: Close, Record: Record{
-		Reserved: used, Base: used, Used: a.spent, At: at.UnixMilli(), Rate: int64(a.rate),
+		Reserved: used, Base: used, Used: a.spent, At: at.UnixMilli(), Rate: int64(max(a.rate, a.usual)),
 	}}
 }
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -167,6 +167,17 @@
 	b.cfg.Metrics.Billed(team.Name, uint64(used))
 }
 
+// drain begins a planned stop.
+func (b *budgetController) drain() {
+	for _, k := range b.books {
+		k.mu.Lock()
+		for _, a := range k.accounts {
+			a.Drain(b.cfg.Now())
+		}
+		k.mu.Unlock()
+	}
+}
+
 // settle returns all reservations at a planned stop.
 func (b *budgetController) settle(ctx context.Context) error {
 	var errs []error
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -88,7 +88,9 @@
 		}
 		if v.done {
 			x.outcome = string(v.outcome)
-			x.g.suspects.completed(x.Fingerprint)
+			if v.outcome == placement.Answered {
+				x.g.suspects.completed(x.Fingerprint)
+			}
 			return
 		}
 		x.logAttempt(p, v)
@@ -350,7 +352,7 @@
 	now := x.g.cfg.Now()
 	fields := x.fields(now)
 	fields["outcome"], fields["server"], fields["sends"], fields["runs"] = x.outcome, x.last.Server.ID, x.sends, x.runs
-	fields["tokens"], fields["held"] = x.usedTokens(), x.held
+	fields["tokens"], fields["held"], fields["prompt"] = x.usedTokens(), x.held, x.InputTokens
 	fields["events"], fields["rank"], fields["candidates"] = x.events, x.last.Rank, x.last.Candidates
 	if !x.firstEvent.IsZero() {
 		fields["firstMs"] = x.firstEvent.Sub(x.Arrived).Milliseconds()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -193,6 +193,7 @@
 // Drain begins a planned stop: the process isn't ready any more, but serves what still comes.
 func (g *Gateway) Drain() {
 	g.draining.Store(true)
+	g.budgets.drain()
 	g.cfg.Events.Event(event.ProcessDraining, apexlog.Fields{"open": g.serving.Load()})
 }
 
