--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"math"
+	"math/bits"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -47,6 +48,7 @@
 	Rank       int
 	Candidates int
 	tokens     int64
+	sentAt     time.Time
 }
 
 // Outcome says how a call ended at a server.
@@ -79,6 +81,15 @@
 	crowdedSlack  = 4
 	// tokensPerPlace weighs the prompt tokens that wait at a server against running calls.
 	tokensPerPlace = 2000
+	// slowServer is the slowness from which a chain goes to its second choice.
+	slowServer     = 2.2
+	slownessWeight = 0.2
+	slownessMemory = 3 * time.Second
+	maxSlowness    = 10
+	usualWeight    = 0.02
+	// sizeStep is the smallest class of prompt sizes, minFirst the least time that is compared.
+	sizeStep = 1000
+	minFirst = 5 * time.Millisecond
 	// remotePenalty is the load that another zone must be better by.
 	remotePenalty = 1.5
 	// firstPause and maxPause bound how long a failing server gets nothing but a single trial.
@@ -102,12 +113,15 @@
 	// failures is the moving average of failed answers.
 	failures float64
 	answers  int
+	// slowness is the moving average of the time to the first event against that of the service, slowAt its last change.
+	slowness float64
+	slowAt   time.Time
 	// gone servers have another owner of their address.
 	gone bool
 }
 
 func (s *server) load() float64 {
-	return float64(s.running) + float64(s.waiting)/tokensPerPlace
+	return (float64(s.running) + float64(s.waiting)/tokensPerPlace) * max(s.slowness, 1)
 }
 
 // Table knows the servers of all services. It is not safe for concurrent use.
@@ -119,6 +133,13 @@
 	byService map[string][]*server
 	// failures is the moving average of each service.
 	failures map[string]float64
+	// firsts are the moving averages of the time to the first event, by service and size of the prompt.
+	firsts map[firstKey]float64
+}
+
+type firstKey struct {
+	service string
+	size    int
 }
 
 // NewTable returns an empty table for an entry VM in zone.
@@ -126,6 +147,7 @@
 	return &Table{
 		zone: zone, random: rand.New(rand.NewPCG(seed, seed)), servers: map[string]*server{},
 		byService: map[string][]*server{}, failures: map[string]float64{},
+		firsts: map[firstKey]float64{},
 	}
 }
 
@@ -140,7 +162,7 @@
 	if old != nil {
 		t.Remove(s.ID)
 	}
-	n := &server{Server: s}
+	n := &server{Server: s, slowness: 1}
 	t.servers[s.ID] = n
 	list := append(t.byService[s.Service], n)
 	slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
@@ -182,6 +204,9 @@
 // Choose places a call. It reports false if no server takes calls.
 func (t *Table) Choose(now time.Time, r Request) (Placement, bool) {
 	usable := t.usable(now, r)
+	for _, s := range usable {
+		s.forgive(now)
+	}
 	if len(usable) == 0 {
 		return Placement{}, false
 	}
@@ -198,7 +223,7 @@
 		// One trial at a time, until its outcome is known.
 		chosen.pausedUntil = now.Add(chosen.pause())
 	}
-	return Placement{Server: chosen.Server, Rank: rank, Candidates: len(usable), tokens: r.Tokens}, true
+	return Placement{Server: chosen.Server, Rank: rank, Candidates: len(usable), tokens: r.Tokens, sentAt: now}, true
 }
 
 // usable lists the servers that may take the call; if all of them are paused, the one whose pause ends first.
@@ -243,7 +268,10 @@
 			second, secondScore = s, score
 		}
 	}
-	if first.load() > bound && second != nil && second.load() < first.load() {
+	if second == nil {
+		return first, 0
+	}
+	if first.load() > bound && second.load() < first.load() || first.slowness > slowServer && second.slowness < first.slowness/2 {
 		return second, 1
 	}
 	return first, 0
@@ -279,11 +307,31 @@
 }
 
 // FirstEvent notes that the prompt of a call has been read.
-func (t *Table) FirstEvent(p *Placement) {
-	if s := t.servers[p.Server.ID]; s != nil {
-		s.waiting -= p.tokens
+func (t *Table) FirstEvent(now time.Time, p *Placement) {
+	s := t.servers[p.Server.ID]
+	if s == nil {
+		return
 	}
+	s.waiting -= p.tokens
+	key := firstKey{service: s.Service, size: bits.Len64(uint64(max(p.tokens, 0)) / sizeStep)}
 	p.tokens = 0
+	took := max(now.Sub(p.sentAt).Seconds(), minFirst.Seconds())
+	usual, known := t.firsts[key]
+	if !known {
+		t.firsts[key] = took
+		return
+	}
+	s.forgive(now)
+	s.slowness += (min(took/usual, maxSlowness) - s.slowness) * slownessWeight
+	t.firsts[key] = usual + (took-usual)*usualWeight
+}
+
+// forgive brings the slowness back to that of the service, since a server that is avoided can't show that it is well.
+func (s *server) forgive(now time.Time) {
+	if passed := now.Sub(s.slowAt); !s.slowAt.IsZero() && passed > 0 {
+		s.slowness = 1 + (s.slowness-1)*math.Exp(-float64(passed)/float64(slownessMemory))
+	}
+	s.slowAt = now
 }
 
 // Release ends a hold and judges the server by its outcome. It returns the deadline of a pause that begins, or zero.
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -149,7 +149,7 @@
 func (s *serverController) firstEvent(p *placement.Placement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.FirstEvent(p)
+	s.table.FirstEvent(s.cfg.Now(), p)
 }
 
 func (s *serverController) release(p placement.Placement, o placement.Outcome) {
