--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -90,6 +90,10 @@
 	// sizeStep is the smallest class of prompt sizes, minFirst the least time that is compared.
 	sizeStep = 1000
 	minFirst = 5 * time.Millisecond
+	// overdue is how many times the usual time a first event may take before the server is suspected; minDue is the
+	// least usual time.
+	overdue = 5
+	minDue  = 80 * time.Millisecond
 	// remotePenalty is the load that another zone must be better by.
 	remotePenalty = 1.5
 	// firstPause and maxPause bound how long a failing server gets nothing but a single trial.
@@ -116,6 +120,8 @@
 	// slowness is the moving average of the time to the first event against that of the service, slowAt its last change.
 	slowness float64
 	slowAt   time.Time
+	// unanswered are the calls without a first event, oldest first.
+	unanswered []pending
 	// gone servers have another owner of their address.
 	gone bool
 }
@@ -137,6 +143,12 @@
 	firsts map[firstKey]float64
 }
 
+// pending is a call that waits for its first event, and when it should have come.
+type pending struct {
+	sentAt time.Time
+	due    time.Duration
+}
+
 type firstKey struct {
 	service string
 	size    int
@@ -219,6 +231,10 @@
 	}
 	chosen.running++
 	chosen.waiting += r.Tokens
+	if r.Tokens > 0 {
+		due := time.Duration(max(t.firsts[keyOf(r.Service, r.Tokens)], minDue.Seconds()) * float64(time.Second))
+		chosen.unanswered = append(chosen.unanswered, pending{sentAt: now, due: due})
+	}
 	if !chosen.pausedUntil.IsZero() {
 		// One trial at a time, until its outcome is known.
 		chosen.pausedUntil = now.Add(chosen.pause())
@@ -313,7 +329,8 @@
 		return
 	}
 	s.waiting -= p.tokens
-	key := firstKey{service: s.Service, size: bits.Len64(uint64(max(p.tokens, 0)) / sizeStep)}
+	s.answered(p.sentAt)
+	key := keyOf(s.Service, p.tokens)
 	p.tokens = 0
 	took := max(now.Sub(p.sentAt).Seconds(), minFirst.Seconds())
 	usual, known := t.firsts[key]
@@ -326,6 +343,28 @@
 	t.firsts[key] = usual + (took-usual)*usualWeight
 }
 
+func keyOf(service string, tokens int64) firstKey {
+	return firstKey{service: service, size: bits.Len64(uint64(max(tokens, 0)) / sizeStep)}
+}
+
+func (s *server) answered(sentAt time.Time) {
+	i := slices.IndexFunc(s.unanswered, func(p pending) bool { return p.sentAt.Equal(sentAt) })
+	if i >= 0 {
+		s.unanswered = slices.Delete(s.unanswered, i, i+1)
+	}
+}
+
+// suspect raises the slowness of a server that owes a first event for long.
+func (s *server) suspect(now time.Time) {
+	if len(s.unanswered) == 0 {
+		return
+	}
+	oldest := s.unanswered[0]
+	if late := float64(now.Sub(oldest.sentAt)) / float64(oldest.due); late > overdue {
+		s.slowness = max(s.slowness, min(late/2, maxSlowness))
+	}
+}
+
 // forgive brings the slowness back to that of the service, since a server that is avoided can't show that it is well.
 func (s *server) forgive(now time.Time) {
 	if passed := now.Sub(s.slowAt); !s.slowAt.IsZero() && passed > 0 {
@@ -342,6 +381,10 @@
 	}
 	s.running--
 	s.waiting -= p.tokens
+	if p.tokens > 0 {
+		s.suspect(now)
+		s.answered(p.sentAt)
+	}
 	before := s.pausedUntil
 	t.judge(now, s, o)
 	if s.pausedUntil.After(now) && !now.Before(before) {
