escrow: a write of the life before may be carried out after the next life has started

Find of the new property test (answers lost and late, kills at any step): a write whose answer was lost before a kill was carried out after the next life had read the ledger, which then reserved on top of its old record: 7,176 tokens reserved of 6,001. The next life now takes such a record over, and spends nothing before its own first accepted write. The property was seen to fail on: recovery that ignores the age, open writes ignored, no conditional append, a life before that counts as its base.

--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -54,6 +54,9 @@
 	writes []write
 	// inherited is the last record of the life before, until its unused part is known.
 	inherited *Record
+	// proven is set when the store has accepted a write of this life. It rules out writes of the life before that are
+	// still under way; until then nothing may be spent.
+	proven bool
 
 	// spent is used for good, held is reserved for calls that run.
 	spent, held int64
@@ -103,22 +106,16 @@
 
 // usable is the sum of tokens that may be spent or held now.
 func (a *Account) usable(now time.Time) int64 {
-	most := a.bound(now, a.confirmed, a.sentAt)
+	if !a.proven {
+		return a.spent + a.held
+	}
+	most := a.confirmed.Bound(now.Sub(a.sentAt))
 	for _, w := range a.writes {
-		most = min(most, a.bound(now, w.record, w.sentAt))
+		most = min(most, w.record.Bound(now.Sub(w.sentAt)))
 	}
 	return most
 }
 
-// bound is what a record allows here. What the life before left is not a part of the record's base, and counts from
-// the start of this one.
-func (a *Account) bound(now time.Time, r Record, sentAt time.Time) int64 {
-	if a.inherited != nil && r == a.confirmed && r == *a.inherited {
-		return r.Reserved
-	}
-	return r.Bound(now.Sub(sentAt))
-}
-
 // Left is what can still be admitted.
 func (a *Account) Left(now time.Time) int64 { return a.usable(now) - a.spent - a.held }
 
@@ -291,14 +288,25 @@
 // Observe takes the record that the store holds when the partition ends at end. Writes for an earlier end are ruled out
 // unless they are that record; a write for this end may still be carried out.
 func (a *Account) Observe(r Record, end uint64) {
-	for _, w := range a.writes {
-		if w.record == r {
-			a.confirmed, a.sentAt = w.record, w.sentAt
-		}
+	own := slices.IndexFunc(a.writes, func(w write) bool { return w.record == r })
+	switch {
+	case own >= 0:
+		a.confirmed, a.sentAt, a.proven = r, a.writes[own].sentAt, true
+	case r != a.confirmed:
+		a.adopt(r)
 	}
 	a.writes = slices.DeleteFunc(a.writes, func(w write) bool { return w.at < end })
 }
 
+// adopt takes over a write of the life before that was carried out after the start of this one.
+func (a *Account) adopt(r Record) {
+	if a.inherited != nil {
+		a.spent += r.Reserved - a.inherited.Reserved
+		a.inherited = &r
+	}
+	a.confirmed = r
+}
+
 // Drain keeps the rate for the next life of the entry VM, before its callers go elsewhere.
 func (a *Account) Drain(now time.Time) {
 	a.decay(now)
