--- /dev/null
+++ b/core/catalog/catalog_test.go
@@ -0,0 +1,73 @@
+package catalog_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"ibiswinch/core/call"
+	"ibiswinch/core/catalog"
+)
+
+func build(c *qt.C) *catalog.Catalog {
+	to := func(service string) []catalog.Destination {
+		return []catalog.Destination{{Service: service, Weight: 1}}
+	}
+	built, err := catalog.New(catalog.Config{
+		Version: 3, HasTeams: true,
+		Routes: []catalog.Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/", Destinations: to("s1"), Kind: call.Idempotent},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/", Destinations: to("s2"), Kind: call.Stream, Resumable: true},
+			{Name: "open", Host: "b.example", Prefix: "/", Destinations: to("s1"), Kind: call.Stream, Public: true},
+		},
+		Teams: []catalog.Team{{Name: "t", Keys: []string{"k1", "k2"}}},
+	})
+	c.Assert(err, qt.IsNil)
+	return built
+}
+
+// TestMatch guards against a route that wins over a longer prefix or another host.
+func TestMatch(t *testing.T) {
+	c := qt.New(t)
+	built := build(c)
+	c.Assert(built.Match("a.example", "/x/z").Name, qt.Equals, "short")
+	c.Assert(built.Match("A.example", "/x/y/z").Name, qt.Equals, "long")
+	c.Assert(built.Match("a.example", "/x"), qt.IsNil)
+	c.Assert(built.Match("c.example", "/x/"), qt.IsNil)
+	c.Assert(built.Match("b.example", "/any").Name, qt.Equals, "open")
+}
+
+// TestKeys guards against calls without a key on a route that needs one, and keys of nobody.
+func TestKeys(t *testing.T) {
+	c := qt.New(t)
+	built := build(c)
+	c.Assert(built.NeedsKey(built.Match("a.example", "/x/")), qt.IsTrue)
+	c.Assert(built.NeedsKey(built.Match("b.example", "/")), qt.IsFalse)
+	c.Assert(built.TeamOf("k2").Name, qt.Equals, "t")
+	c.Assert(built.TeamOf("k3"), qt.IsNil)
+}
+
+// TestRepeatable guards against running a stream again that can't be resumed.
+func TestRepeatable(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		route catalog.Route
+		want  bool
+	}{
+		{catalog.Route{Kind: call.Idempotent}, true},
+		{catalog.Route{Kind: call.Once}, false},
+		{catalog.Route{Kind: call.Stream}, false},
+		{catalog.Route{Kind: call.Stream, Resumable: true}, true},
+		{catalog.Route{Kind: call.Once, Resumable: true}, false},
+	} {
+		c.Assert(test.route.Repeatable(), qt.Equals, test.want)
+	}
+}
+
+// TestDestination guards against weights that are ignored.
+func TestDestination(t *testing.T) {
+	c := qt.New(t)
+	r := catalog.Route{Destinations: []catalog.Destination{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	c.Assert(r.Destination(0.5), qt.Equals, "a")
+	c.Assert(r.Destination(0.95), qt.Equals, "b")
+}
--- /dev/null
+++ b/core/retry/window_test.go
@@ -0,0 +1,69 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"ibiswinch/core/retry"
+)
+
+// TestWindowKeepsTheRule guards against repeats of several entry VMs that pass the fleet's rule together, in any window.
+func TestWindowKeepsTheRule(t *testing.T) {
+	c := qt.New(t)
+	cfg := retry.WindowConfig{Ratio: 0.2, Extra: 56, Window: 10 * time.Second}
+	const vms = 8
+	random := rand.New(rand.NewPCG(1, 2))
+	var windows [vms]*retry.Window
+	for i := range windows {
+		windows[i] = retry.NewWindow(cfg)
+	}
+	type event struct {
+		at     time.Time
+		repeat bool
+	}
+	var events []event
+	now := time.Unix(0, 0)
+	for range 40_000 {
+		now = now.Add(time.Duration(random.IntN(2000)) * time.Microsecond)
+		w := windows[random.IntN(vms)]
+		w.AddRequest(now)
+		events = append(events, event{at: now})
+		if random.IntN(2) == 0 && w.Take(now, vms) {
+			events = append(events, event{at: now, repeat: true})
+		}
+	}
+	first, requests, repeats := 0, 0, 0
+	for _, e := range events {
+		if e.repeat {
+			repeats++
+		} else {
+			requests++
+		}
+		for events[first].at.Before(e.at.Add(-cfg.Window)) {
+			if events[first].repeat {
+				repeats--
+			} else {
+				requests--
+			}
+			first++
+		}
+		c.Assert(float64(repeats) <= cfg.Ratio*float64(requests)+float64(cfg.Extra), qt.IsTrue)
+	}
+}
+
+// TestWindowForgets guards against repeats that count after their window, which would leave none after an outage.
+func TestWindowForgets(t *testing.T) {
+	c := qt.New(t)
+	w := retry.NewWindow(retry.WindowConfig{Ratio: 0, Extra: 20, Window: 10 * time.Second})
+	now := time.Unix(0, 0)
+	taken := 0
+	for w.Take(now, 2) {
+		taken++
+	}
+	c.Assert(taken, qt.Equals, 7)
+	c.Assert(w.Take(now.Add(9*time.Second), 2), qt.IsFalse)
+	c.Assert(w.Take(now.Add(11*time.Second), 2), qt.IsTrue)
+}
