gateway: tests of the exchange, budgets and followers; a call without tokens looks at the ledger at once

Find of TestTwoVMsShareABudget (8 s): with nothing free the ledger wasn't looked at, and each call waited its full 250 ms before it was refused.

--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -250,8 +250,11 @@
 	return requestTokens/4 + int64(math.Sqrt(a.rate*requestTokens))
 }
 
-// Wants reports whether Plan would ask for a write.
+// Wants reports whether the ledger should be looked at: a call waits, or Plan would ask for a write.
 func (a *Account) Wants(now time.Time, f Floors, limit int64, book *Book) bool {
+	if a.waiting > 0 {
+		return true
+	}
 	reason, _ := a.decide(now, a.want(now, f), f, limit, book)
 	return reason != None
 }
--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,305 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"ibiswinch/core/call"
+	"ibiswinch/core/catalog"
+	"ibiswinch/core/keyed"
+	"ibiswinch/core/placement"
+	"ibiswinch/core/refusal"
+	"ibiswinch/core/retry"
+	"ibiswinch/io/apexlog"
+)
+
+// memoryLog is a keyed log in memory that can be out of reach.
+type memoryLog struct {
+	mu         sync.Mutex
+	partitions map[keyed.Partition][]keyed.Record
+	trimmed    map[keyed.Partition]uint64
+	away       bool
+}
+
+func newMemoryLog() *memoryLog {
+	return &memoryLog{partitions: map[keyed.Partition][]keyed.Record{}, trimmed: map[keyed.Partition]uint64{}}
+}
+
+func (l *memoryLog) setAway(away bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.away = away
+}
+
+func (l *memoryLog) put(s keyed.Stream, key string, value any) {
+	b, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	if value == nil {
+		b = nil
+	}
+	_, _ = l.Append(context.Background(), keyed.Partition{Stream: s}, []keyed.Record{{Key: key, Value: b}}, nil)
+}
+
+func (l *memoryLog) Append(_ context.Context, p keyed.Partition, records []keyed.Record, expected *uint64) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.away {
+		return 0, keyed.ErrUnavailable
+	}
+	end := uint64(len(l.partitions[p]))
+	if expected != nil && *expected != end {
+		return 0, &keyed.ConflictError{End: end}
+	}
+	for _, r := range records {
+		r.Offset = uint64(len(l.partitions[p]))
+		l.partitions[p] = append(l.partitions[p], r)
+	}
+	return uint64(len(l.partitions[p])), nil
+}
+
+func (l *memoryLog) Read(ctx context.Context, p keyed.Partition, from uint64, wait time.Duration) (keyed.Batch, error) {
+	for until := time.Now().Add(wait); ; {
+		l.mu.Lock()
+		all, away, first := l.partitions[p], l.away, l.trimmed[p]
+		l.mu.Unlock()
+		switch {
+		case away:
+			return keyed.Batch{}, keyed.ErrUnavailable
+		case from < first:
+			return keyed.Batch{}, keyed.ErrTrimmed
+		case from < uint64(len(all)):
+			return keyed.Batch{Records: all[from:], Next: uint64(len(all))}, nil
+		case ctx.Err() != nil || time.Now().After(until):
+			return keyed.Batch{Next: from}, ctx.Err()
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (l *memoryLog) Latest(_ context.Context, p keyed.Partition) (keyed.Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.away {
+		return keyed.Batch{}, keyed.ErrUnavailable
+	}
+	newest := map[string]keyed.Record{}
+	for _, r := range l.partitions[p] {
+		newest[r.Key] = r
+		if len(r.Value) == 0 {
+			delete(newest, r.Key)
+		}
+	}
+	batch := keyed.Batch{Next: uint64(len(l.partitions[p]))}
+	for _, r := range newest {
+		batch.Records = append(batch.Records, r)
+	}
+	return batch, nil
+}
+
+func (l *memoryLog) trim(p keyed.Partition) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.trimmed[p] = uint64(len(l.partitions[p]))
+}
+
+// jsonDecoder reads the product's own types as JSON.
+type jsonDecoder struct{}
+
+func (jsonDecoder) Operation(_ string, value []byte) (any, error) {
+	var cfg catalog.Config
+	if err := json.Unmarshal(value, &cfg); err != nil {
+		return nil, err
+	}
+	return catalog.New(cfg)
+}
+
+func (jsonDecoder) Server(_ string, value []byte) (placement.Server, error) {
+	var s placement.Server
+	err := json.Unmarshal(value, &s)
+	return s, err
+}
+
+// try is what one send does.
+type try struct {
+	err    error
+	answer *fakeAnswer
+}
+
+type fakeAnswer struct {
+	status      int
+	unsealed    bool
+	notRun      bool
+	misdirected bool
+	stream      bool
+	body        string
+	events      []Event
+	// end is the error after the last event, io.EOF by default.
+	end  error
+	next int
+}
+
+func (a *fakeAnswer) Status() int                { return a.status }
+func (a *fakeAnswer) Sealed() bool               { return !a.unsealed }
+func (a *fakeAnswer) NotRun() bool               { return a.notRun }
+func (a *fakeAnswer) Misdirected() bool          { return a.misdirected }
+func (a *fakeAnswer) Events() bool               { return a.stream }
+func (a *fakeAnswer) Body(int64) ([]byte, error) { return []byte(a.body), a.end }
+func (a *fakeAnswer) Close()                     {}
+
+func (a *fakeAnswer) Next() (Event, error) {
+	if a.next < len(a.events) {
+		a.next++
+		return a.events[a.next-1], nil
+	}
+	if a.end != nil {
+		return Event{}, a.end
+	}
+	return Event{}, io.EOF
+}
+
+// scriptedBackend answers the sends in the order of its tries.
+type scriptedBackend struct {
+	mu    sync.Mutex
+	tries []try
+	sends []Send
+}
+
+func (b *scriptedBackend) Send(_ context.Context, s Send) (Answer, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sends = append(b.sends, s)
+	if len(b.tries) == 0 {
+		return nil, &SendError{Outcome: placement.Broken, Err: errors.New("not scripted")}
+	}
+	t := b.tries[0]
+	b.tries = b.tries[1:]
+	if t.err != nil {
+		return nil, t.err
+	}
+	return t.answer, nil
+}
+
+// recorder is the caller's side.
+type recorder struct {
+	refused  *refusal.Error
+	status   int
+	body     string
+	finished bool
+	broken   bool
+}
+
+func (r *recorder) Refuse(e *refusal.Error) error { r.refused = e; return nil }
+func (r *recorder) Whole(a Answer, body []byte) error {
+	r.status, r.body = a.Status(), string(body)
+	return nil
+}
+func (r *recorder) Begin(a Answer) error   { r.status = a.Status(); return nil }
+func (r *recorder) Event(raw []byte) error { r.body += string(raw); return nil }
+func (r *recorder) Finish()                { r.finished = true }
+func (r *recorder) Break()                 { r.broken = true }
+
+type noMetrics struct{}
+
+func (noMetrics) Request(string, string)           {}
+func (noMetrics) Refusal(string)                   {}
+func (noMetrics) Billed(string, uint64)            {}
+func (noMetrics) FirstToken(string, time.Duration) {}
+func (noMetrics) Retry()                           {}
+func (noMetrics) Append()                          {}
+
+// bench is a gateway with a fake log and scripted servers.
+type bench struct {
+	c       *qt.C
+	log     *memoryLog
+	backend *scriptedBackend
+	gateway *Gateway
+	stop    func()
+}
+
+const testHost = "a.example"
+
+func testCatalog(version, prepaid int64) catalog.Config {
+	to := []catalog.Destination{{Service: "s", Weight: 1}}
+	second := time.Second
+	return catalog.Config{
+		Version: version, HasTeams: true,
+		Services: []catalog.Service{{Name: "s", EventTokens: 4}},
+		Teams:    []catalog.Team{{Name: "team", Keys: []string{"key"}, Prepaid: prepaid, Limited: true}},
+		Routes: []catalog.Route{
+			{Name: "read", Host: testHost, Prefix: "/read/", Kind: call.Idempotent, Attempts: 2, Timeout: 2 * second, Objective: second, Destinations: to},
+			{Name: "order", Host: testHost, Prefix: "/order/", Kind: call.Once, Attempts: 1, Timeout: 2 * second, Objective: second, Destinations: to},
+			{Name: "chat", Host: testHost, Prefix: "/chat/", Kind: call.Stream, Attempts: 2, Resumable: true, Timeout: 2 * second, Objective: second, Destinations: to},
+			{Name: "draft", Host: testHost, Prefix: "/draft/", Kind: call.Stream, Attempts: 1, Timeout: 2 * second, Objective: second, Destinations: to},
+		},
+	}
+}
+
+func newBench(t *testing.T, tries ...try) *bench {
+	c := qt.New(t)
+	b := &bench{c: c, log: newMemoryLog(), backend: &scriptedBackend{tries: tries}}
+	b.log.put(keyed.Operations, "config", testCatalog(1, 100_000))
+	for i, id := range []string{"s-1", "s-2", "s-3"} {
+		b.log.put(keyed.Servers, id, placement.Server{
+			ID: id, Service: "s", Zone: "z", Version: "v1", Addr: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1+i)),
+		})
+	}
+	b.gateway = b.start("vm-1")
+	return b
+}
+
+func (b *bench) start(name string) *Gateway {
+	g := New(Config{
+		Name: name, Incarnation: name + "-1", Zone: "z", Log: b.log, Decoder: jsonDecoder{}, Backend: b.backend, Now: time.Now,
+		Events: apexlog.Discard(), Metrics: noMetrics{}, LedgerPartitions: 1,
+		Retries: retry.WindowConfig{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = g.Run(ctx)
+	}()
+	b.c.Cleanup(func() { cancel(); <-done })
+	b.await("ready", g.Ready)
+	return g
+}
+
+func (b *bench) await(what string, done func() bool) {
+	for deadline := time.Now().Add(5 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			b.c.Fatalf("no %s in 5 s", what)
+		}
+	}
+}
+
+func (b *bench) ask(path string) *recorder {
+	return b.serve(&call.Call{Path: path, InputTokens: 100, MaxOutputTokens: 40})
+}
+
+func (b *bench) serve(c *call.Call) *recorder {
+	r := &recorder{}
+	c.ID, c.Method, c.Host, c.Target, c.Arrived = "r-1", "POST", testHost, c.Path, time.Now()
+	if c.Key == "" {
+		c.Key = "key"
+	}
+	b.gateway.Serve(context.Background(), c, r)
+	return r
+}
+
+func events(ids ...string) []Event {
+	var list []Event
+	for _, id := range ids {
+		list = append(list, Event{ID: id, Raw: []byte("id:" + id + "\n\n")})
+	}
+	return list
+}
