--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -119,8 +119,8 @@
 // Left is what can still be admitted.
 func (a *Account) Left(now time.Time) int64 { return a.usable(now) - a.spent - a.held }
 
-// idle is what is reserved and neither used nor held.
-func (a *Account) idle() int64 {
+// Idle is what is reserved and neither used nor held.
+func (a *Account) Idle() int64 {
 	reserved := a.confirmed.Reserved
 	for _, w := range a.writes {
 		reserved = min(reserved, w.record.Reserved)
@@ -141,7 +141,7 @@
 func (a *Account) UsableAt(now time.Time, tokens int64) time.Time {
 	need := a.spent + a.held + tokens
 	age, ok := a.confirmed.ageOf(need)
-	if !ok || len(a.writes) > 0 && a.idle() < tokens {
+	if !ok || len(a.writes) > 0 && a.Idle() < tokens {
 		return time.Time{}
 	}
 	if at := a.sentAt.Add(age); at.After(now) {
@@ -197,7 +197,7 @@
 	if all <= 0 {
 		return 0
 	}
-	unused := max(book.Free(limit), 0) + book.idles - own.idle() + max(a.idle(), 0)
+	unused := max(book.Free(limit), 0) + book.idles - own.idle() + max(a.Idle(), 0)
 	if unused < f.Scarce {
 		return 0
 	}
@@ -261,7 +261,7 @@
 
 func (a *Account) decide(now time.Time, want int64, f Floors, limit int64, book *Book) (Reason, int64) {
 	target := a.target(want, f, limit, book)
-	idle := a.idle()
+	idle := a.Idle()
 	free := max(book.Free(limit), 0)
 	lack := max(a.waiting-idle, 0)
 	switch {
@@ -280,7 +280,7 @@
 // stale reports whether the record in the store leaves much open if the process dies now.
 func (a *Account) stale(now time.Time) bool {
 	behind := a.spent+a.held-a.confirmed.Base > minReturn
-	return (a.idle() > minReturn || behind) && now.Sub(a.sentAt) >= refreshAge
+	return (a.Idle() > minReturn || behind) && now.Sub(a.sentAt) >= refreshAge
 }
 
 // Writing notes that a record is on its way to the store, to be written if the partition ends at offset at.
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -36,6 +36,8 @@
 	rateParts  = 200
 	// scarceTokens is the reserve for each entry VM that is worth keeping.
 	scarceTokens = 12_000
+	// lookMemory is how long a look at the ledger answers further calls for tokens that it does not have.
+	lookMemory = 150 * time.Millisecond
 	// eagerAccounts bounds the accounts that a process opens before the first call of their teams.
 	eagerAccounts = 256
 	// conflictTries bounds the appends of one look that lose against other entry VMs.
@@ -71,6 +73,7 @@
 	accounts map[string]*escrow.Account
 	// begun and ended are the numbers of the last looks at the ledger that began and ended.
 	begun, ended uint64
+	endedAt      time.Time
 	// changed is closed and replaced whenever accounts or books have changed.
 	changed chan struct{}
 }
@@ -274,10 +277,12 @@
 func (k *book) retry(team string, tokens int64, mark uint64) (admitted bool, changed <-chan struct{}, hopeless bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.ready && k.account(team).Admit(k.b.cfg.Now(), tokens) {
+	a, now := k.account(team), k.b.cfg.Now()
+	if a.Admit(now, tokens) {
 		return true, nil, false
 	}
-	looked := k.ended > mark && k.team(team).Free(k.limit(team)) < tokens
+	recent := now.Sub(k.endedAt) < lookMemory
+	looked := (k.ended > mark || recent) && k.team(team).Free(k.limit(team))+max(a.Idle(), 0) < tokens
 	return false, k.changed, k.away || looked
 }
 
@@ -415,7 +420,7 @@
 func (k *book) endLook() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.ended = k.begun
+	k.ended, k.endedAt = k.begun, k.b.cfg.Now()
 	k.signal()
 }
 
