--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -55,6 +56,8 @@
 	// stopReserve is left of the grace period to return budgets and end.
 	stopReserve = 700 * time.Millisecond
 	stopPoll    = 20 * time.Millisecond
+	// watchInterval separates looks at the settings file.
+	watchInterval = time.Second
 	// callerHeaderBytes bounds the headers of a caller beyond the limits of the configuration.
 	callerHeaderBytes = 64 << 10
 	headerTimeout     = 5 * time.Second
@@ -79,7 +82,9 @@
 
 // platformProcess is one entry VM on the platform.
 type platformProcess struct {
-	path     string
+	path string
+	mu   sync.Mutex
+	// settings are the last good ones.
 	settings platform.Settings
 	gateway  *gateway.Gateway
 	events   *apexlog.Logger
@@ -102,9 +107,9 @@
 	if err != nil {
 		return nil, err
 	}
-	zero := func() int64 { return 0 }
 	p.metrics, err = prometheus.New(prometheus.Gauges{
-		HeldBytes: zero, OpenRequests: func() int64 { return p.gateway.Serving() }, PendingBills: zero, LivePeers: zero,
+		OpenRequests: func() int64 { return p.gateway.Serving() }, LivePeers: func() int64 { return int64(p.gateway.Members()) },
+		FreeTokens: func() int64 { return p.gateway.FreeTokens() }, DroppedLines: p.output.Dropped,
 	})
 	if err != nil {
 		return nil, err
@@ -114,6 +119,7 @@
 		Backend: platform.NewServers(time.Now), Now: time.Now, Events: p.events, Metrics: p.metrics,
 		Retries:          retry.WindowConfig{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
 		LedgerPartitions: ledgerPartitions, Seed: uint64(time.Now().UnixNano()),
+		Pressed: p.output.Pressed,
 	})
 	p.events.Event(event.ProcessStarted, apexlog.Fields{"incarnation": incarnation, "zone": s.Zone})
 	return p, nil
@@ -128,6 +134,7 @@
 			p.events.Event(event.HandlerPanicked, apexlog.Fields{"error": err.Error()})
 		}
 	})
+	wg.Go(func() { p.runWatch(ctx) })
 	callers, err := p.serve()
 	if err != nil {
 		return err
@@ -194,6 +201,29 @@
 	}
 }
 
+// runWatch looks once a second for changed settings and dropped lines.
+func (p *platformProcess) runWatch(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	text, _ := os.ReadFile(p.path)
+	dropped := int64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if now, err := os.ReadFile(p.path); err == nil && !bytes.Equal(now, text) {
+			text = now
+			p.reload()
+		}
+		if n := p.output.Dropped(); n > dropped {
+			p.events.Event(event.LinesDropped, apexlog.Fields{"lines": n - dropped})
+			dropped = n
+		}
+	}
+}
+
 // reload reads the settings again. What a running process can't change takes effect at its next start.
 func (p *platformProcess) reload() {
 	next, err := platform.LoadSettings(p.path)
@@ -201,14 +231,19 @@
 		p.events.Event(event.SettingsRejected, apexlog.Fields{"error": err.Error()})
 		return
 	}
-	p.events.Event(event.SettingsReloaded, apexlog.Fields{"changed": next != p.settings})
+	p.mu.Lock()
+	changed := next != p.settings
 	p.settings = next
+	p.mu.Unlock()
+	p.events.Event(event.SettingsReloaded, apexlog.Fields{"changed": changed})
 }
 
 // stop serves on until the callers have gone elsewhere, and returns the unused budgets.
 func (p *platformProcess) stop(callers *http.Server) {
 	begun := time.Now()
+	p.mu.Lock()
 	ends := begun.Add(p.settings.GracePeriod - stopReserve)
+	p.mu.Unlock()
 	p.gateway.Drain()
 	idle := false
 	for now := begun; now.Before(ends); now = time.Now() {
--- a/core/escrow/machine_test.go
+++ b/core/escrow/machine_test.go
@@ -42,7 +42,6 @@
 	next    uint64
 	held    []int64
 	used    int64
-	lastAt  time.Time
 }
 
 // world is the model: a fake store, a fake clock, and an oracle that adds up what was really used.
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -62,6 +62,9 @@
 	follow follower
 	wake   chan struct{}
 
+	// work is held while the partition is read and written; closed ends that when the reservations were returned.
+	work   sync.Mutex
+	closed bool
 	// opened is set when the accounts of the first configuration were made.
 	opened bool
 
@@ -71,6 +74,8 @@
 	away     bool
 	teams    map[string]*escrow.Book
 	accounts map[string]*escrow.Account
+	// seen is the end of what was read.
+	seen uint64
 	// begun and ended are the numbers of the last looks at the ledger that began and ended.
 	begun, ended uint64
 	endedAt      time.Time
@@ -170,6 +175,19 @@
 	b.cfg.Metrics.Billed(team.Name, uint64(used))
 }
 
+// free is the number of tokens that may be admitted now.
+func (b *budgetController) free() int64 {
+	sum, now := int64(0), b.cfg.Now()
+	for _, k := range b.books {
+		k.mu.Lock()
+		for _, a := range k.accounts {
+			sum += max(a.Left(now), 0)
+		}
+		k.mu.Unlock()
+	}
+	return sum
+}
+
 // drain begins a planned stop.
 func (b *budgetController) drain() {
 	for _, k := range b.books {
@@ -315,7 +333,7 @@
 func (k *book) refused(id, team string, tokens int64, e *refusal.Error) *refusal.Error {
 	fields := apexlog.Fields{
 		"request": id, "team": team, "tokens": tokens, "limit": k.limit(team), "used": k.team(team).Used(),
-		"free": k.team(team).Free(k.limit(team)), "ledgerOffset": k.follow.next, "reason": string(e.Reason),
+		"free": k.team(team).Free(k.limit(team)), "ledgerOffset": k.seen, "reason": string(e.Reason),
 	}
 	if k.ready {
 		a := k.account(team)
@@ -339,11 +357,9 @@
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		if !k.opened || k.wants() {
-			if err := k.renew(ctx); err != nil && ctx.Err() == nil {
-				k.follow.fail(err)
-				pause(ctx, retryPause)
-			}
+		if err := k.renew(ctx); err != nil && ctx.Err() == nil {
+			k.follow.fail(err)
+			pause(ctx, retryPause)
 		}
 		select {
 		case <-ctx.Done():
@@ -367,6 +383,11 @@
 
 // renew reads the partition and appends what the accounts need, on the condition that nobody else appends first.
 func (k *book) renew(ctx context.Context) error {
+	k.work.Lock()
+	defer k.work.Unlock()
+	if k.closed || k.opened && !k.wants() {
+		return nil
+	}
 	defer k.endLook()
 	for range conflictTries {
 		k.beginLook()
@@ -487,6 +508,7 @@
 func (k *book) observe() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.seen = k.follow.next
 	for team, a := range k.accounts {
 		a.Observe(k.team(team).Record(k.b.cfg.Name), k.follow.next)
 		k.recover(team, a)
@@ -528,12 +550,16 @@
 
 // settle returns everything that isn't used.
 func (k *book) settle(ctx context.Context) error {
+	k.work.Lock()
+	defer k.work.Unlock()
+	k.closed = true
 	var err error
 	for range settleTries {
 		if err = k.follow.step(ctx); err != nil {
 			pause(ctx, retryPause)
 			continue
 		}
+		k.observe()
 		plans := k.closing()
 		if len(plans) == 0 {
 			return nil
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
 	"io"
 	"time"
 
@@ -21,6 +22,8 @@
 	firstWaitShare = 130
 	// stallTimeout is the pause between events after which a resumable stream goes on elsewhere; callers leave after 2 s.
 	stallTimeout = 800 * time.Millisecond
+	// sampleOne is the part of the successful requests that is logged under pressure.
+	sampleOne = 16
 	// fullRetry is when a repeat may find room after all servers were full.
 	fullRetry = 250 * time.Millisecond
 )
@@ -359,5 +362,18 @@
 		fields["gapMs"] = x.worstGap.Milliseconds()
 	}
 	x.g.cfg.Metrics.Request(x.teamName(), x.outcome)
-	x.g.cfg.Events.Event(event.RequestEnded, fields)
+	if x.sampled() {
+		x.g.cfg.Events.Event(event.RequestEnded, fields)
+	}
+}
+
+// sampled reports whether the end of the request is logged. Under pressure one in sampleOne of the successful requests
+// is, chosen by its id so that all processes choose the same ones.
+func (x *exchange) sampled() bool {
+	if x.outcome != string(placement.Answered) || x.sends > 1 || x.g.cfg.Pressed == nil || !x.g.cfg.Pressed() {
+		return true
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(x.ID))
+	return h.Sum32()%sampleOne == 0
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,6 +135,8 @@
 	LedgerPartitions int
 	// Seed feeds the random choices.
 	Seed uint64
+	// Pressed reports whether the log is near its bounds, so that the lines of most successful requests are left out.
+	Pressed func() bool
 }
 
 // Gateway is one entry VM.
@@ -184,6 +186,12 @@
 	return !g.draining.Load() && g.catalogs.now() != nil && g.servers.known() && g.budgets.loaded()
 }
 
+// Members is the number of entry VMs that share the rules of the fleet.
+func (g *Gateway) Members() int { return g.fleet.count() }
+
+// FreeTokens is the number of tokens that may be admitted here now, over all teams.
+func (g *Gateway) FreeTokens() int64 { return g.budgets.free() }
+
 // Draining reports whether a planned stop has begun.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -223,7 +223,6 @@
 	log     *memoryLog
 	backend *scriptedBackend
 	gateway *Gateway
-	stop    func()
 }
 
 const testHost = "a.example"
--- a/io/apexlog/bounded.go
+++ b/io/apexlog/bounded.go
@@ -86,8 +86,8 @@
 	return b.lineTokens < float64(b.cfg.LinesPerSecond*burstSeconds)/2 || len(b.lines) > cap(b.lines)/2
 }
 
-// Dropped is the number of lines that were dropped since the last call.
-func (b *Bounded) Dropped() int64 { return b.dropped.Swap(0) }
+// Dropped is the number of lines that were dropped since the start.
+func (b *Bounded) Dropped() int64 { return b.dropped.Load() }
 
 func (b *Bounded) run() {
 	defer close(b.done)
--- a/io/prometheus/metrics.go
+++ b/io/prometheus/metrics.go
@@ -26,12 +26,16 @@
 // firstTokenBounds are the histogram bounds in seconds; 0.38 s is the promise for 95 in 100.
 var firstTokenBounds = []float64{0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.38, 0.75, 1.5, 5, 30}
 
-// Gauges are values that are read when the endpoint is scraped.
+// Gauges are values that are read when the endpoint is scraped; those that are nil are left out.
 type Gauges struct {
 	HeldBytes    func() int64
 	OpenRequests func() int64
 	PendingBills func() int64
 	LivePeers    func() int64
+	// FreeTokens are those that may be admitted here now, over all teams.
+	FreeTokens func() int64
+	// DroppedLines were left out of the log since the start.
+	DroppedLines func() int64
 }
 
 // Metrics holds the instruments of one entry VM.
@@ -86,8 +90,13 @@
 		{"open_requests", gauges.OpenRequests},
 		{"pending_bills", gauges.PendingBills},
 		{"live_peers", gauges.LivePeers},
+		{"free_tokens", gauges.FreeTokens},
+		{"log_lines_dropped", gauges.DroppedLines},
 	}
 	for _, g := range all {
+		if g.read == nil {
+			continue
+		}
 		observe := func(_ context.Context, o metric.Int64Observer) error {
 			o.Observe(g.read())
 			return nil
