--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -43,8 +43,9 @@
 	// metricsPort serves the metrics and the state dump, metricsPath is that of the metrics.
 	metricsPort = 9464
 	metricsPath = "/metrics"
-	// ledgerPartitions spreads the teams, so that entry VMs seldom append to the same partition at once.
-	ledgerPartitions = 2
+	// readsPerPartition is the number of reads a second that the store allows for each partition of the ledger. A store
+	// that allows more serves a larger fleet, whose entry VMs would append to the same partition at once.
+	readsPerPartition = 1000
 	// memoryShare is the part of the memory limit from which the garbage collector works harder, in hundredths.
 	memoryShare = 60
 	// garbageShare is the growth of the heap between two collections, in hundredths.
@@ -118,7 +119,7 @@
 		Name: s.Name, Incarnation: incarnation, Zone: s.Zone, Log: platform.NewStore(s.Store), Decoder: platform.Decoder{},
 		Backend: platform.NewServers(time.Now), Now: time.Now, Events: p.events, Metrics: p.metrics,
 		Retries:          retry.WindowConfig{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
-		LedgerPartitions: ledgerPartitions, Seed: uint64(time.Now().UnixNano()),
+		LedgerPartitions: max(int(s.StoreReads/readsPerPartition), 1), Seed: uint64(time.Now().UnixNano()),
 		Pressed: p.output.Pressed,
 	})
 	p.events.Event(event.ProcessStarted, apexlog.Fields{"incarnation": incarnation, "zone": s.Zone})
--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -26,8 +26,8 @@
 	endPace    = 25
 	// requestTokens is the size of a large request.
 	requestTokens = 9000
-	// refreshAge is when an unchanged record is written again, so that little is lost if the process dies.
-	refreshAge = 450 * time.Millisecond
+	// ampleBurst is the number of large requests that are usable at once before the end of a budget is near.
+	ampleBurst = 2
 )
 
 // Floors are the least amounts of an account, whatever its recent use.
@@ -38,6 +38,8 @@
 	Burst int64
 	// Rate is the least growth of the usable part, in tokens a second.
 	Rate int64
+	// Refresh is the age at which a record is written again, so that little is lost if the process dies.
+	Refresh time.Duration
 	// Scarce is the number of unused tokens of the whole budget below which nobody keeps a reserve, so that the last
 	// tokens aren't split into parts that are too small for a call.
 	Scarce int64
@@ -227,7 +229,7 @@
 func (a *Account) Plan(now, at time.Time, f Floors, limit int64, book *Book) Plan {
 	want := a.want(now, f)
 	reason, reserved := a.decide(now, want, f, limit, book)
-	burst := max(min(f.Burst, a.burst()), a.waiting)
+	burst := max(min(f.Burst, a.burst(limit, book)), a.waiting)
 	if reason == None {
 		return Plan{}
 	}
@@ -239,17 +241,23 @@
 
 // slow is the growth of the usable part while the store is expected to answer.
 func (a *Account) slow(limit int64, book *Book) int64 {
-	if book.used*100 < limit*ampleShare {
+	if isAmple(limit, book) {
 		return int64(a.rate * amplePace / 100)
 	}
 	return int64(a.rate * endPace / 100)
 }
 
 // burst covers the variation of the use between two records: requests come at random, and each has about this size.
-func (a *Account) burst() int64 {
-	return requestTokens/4 + int64(math.Sqrt(a.rate*requestTokens))
+func (a *Account) burst(limit int64, book *Book) int64 {
+	spread := int64(math.Sqrt(a.rate * requestTokens))
+	if isAmple(limit, book) {
+		return ampleBurst*requestTokens + spread
+	}
+	return requestTokens/4 + spread
 }
 
+func isAmple(limit int64, book *Book) bool { return book.used*100 < limit*ampleShare }
+
 // Wants reports whether the ledger should be looked at: a call waits, or Plan would ask for a write.
 func (a *Account) Wants(now time.Time, f Floors, limit int64, book *Book) bool {
 	if a.waiting > 0 {
@@ -271,16 +279,16 @@
 		return Raise, a.confirmed.Reserved + min(target-idle, free)
 	case idle*100 > target*highShare && idle-target > minReturn && len(a.writes) == 0:
 		return Return, a.confirmed.Reserved - (idle - target)
-	case a.waiting > max(a.Left(now), 0) && a.waiting <= idle || a.stale(now):
+	case a.waiting > max(a.Left(now), 0) && a.waiting <= idle || a.stale(now, f):
 		return Refresh, a.confirmed.Reserved
 	}
 	return None, 0
 }
 
 // stale reports whether the record in the store leaves much open if the process dies now.
-func (a *Account) stale(now time.Time) bool {
+func (a *Account) stale(now time.Time, f Floors) bool {
 	behind := a.spent+a.held-a.confirmed.Base > minReturn
-	return (a.Idle() > minReturn || behind) && now.Sub(a.sentAt) >= refreshAge
+	return (a.Idle() > minReturn || behind) && now.Sub(a.sentAt) >= f.Refresh
 }
 
 // Writing notes that a record is on its way to the store, to be written if the partition ends at offset at.
--- a/core/escrow/machine_test.go
+++ b/core/escrow/machine_test.go
@@ -55,7 +55,7 @@
 // steps is the length of a run.
 const steps = 250
 
-var floors = escrow.Floors{Want: 3000, Burst: 1500, Rate: 400}
+var floors = escrow.Floors{Want: 3000, Burst: 1500, Rate: 400, Refresh: time.Second}
 
 func newWorld(t *rapid.T) *world {
 	w := &world{now: time.Unix(1000, 0), limit: int64(rapid.IntRange(2000, 12_000).Draw(t, "limit")), store: store{records: map[string]escrow.Record{}}}
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -7,6 +7,7 @@
 	"errors"
 	"hash/fnv"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -24,7 +25,9 @@
 
 const (
 	// planInterval is how often the reservations are looked at without a request that lacks tokens.
-	planInterval = 500 * time.Millisecond
+	planInterval = 450 * time.Millisecond
+	// pacePerVM is the least time between two such looks for each entry VM of the fleet.
+	pacePerVM = 25 * time.Millisecond
 	// reserveWait bounds how long a call waits for a larger reservation.
 	reserveWait = 250 * time.Millisecond
 	// floorParts is the number of parts of a budget of which all entry VMs together hold one when idle.
@@ -32,7 +35,7 @@
 	// maxBurst bounds what is usable between two records; burstShare is the part of a budget, in hundredths, that the bursts
 	// of all entry VMs may have. rateParts is the number of seconds in which idle accounts would use up a budget.
 	maxBurst   = 60_000
-	burstShare = 8
+	burstShare = 12
 	rateParts  = 200
 	// scarceTokens is the reserve for each entry VM that is worth keeping.
 	scarceTokens = 12_000
@@ -343,29 +346,36 @@
 	return e
 }
 
+// pace is the time between two writes that no call waits for. It grows with the fleet, since all write to the same
+// partitions.
+func (k *book) pace() time.Duration {
+	return max(planInterval, time.Duration(k.b.fleet.count())*pacePerVM)
+}
+
 // floors are the least amounts of a team's account. They are bounded by small parts of the budget, so that the
 // processes that die at once leave most of it.
 func (k *book) floors(team string) escrow.Floors {
 	limit, n := k.limit(team), int64(max(k.b.fleet.count(), 1))
 	return escrow.Floors{
 		Want: limit / (floorParts * n), Burst: min(maxBurst, limit*burstShare/100/n), Rate: limit / (rateParts * n),
-		Scarce: min(scarceTokens*n, limit/5),
+		Scarce:  min(scarceTokens*n, limit/5),
+		Refresh: k.pace(),
 	}
 }
 
 func (k *book) loop(ctx context.Context) {
-	ticker := time.NewTicker(planInterval)
-	defer ticker.Stop()
 	for ctx.Err() == nil {
 		if err := k.renew(ctx); err != nil && ctx.Err() == nil {
 			k.follow.fail(err)
 			pause(ctx, retryPause)
 		}
+		timer := time.NewTimer(k.pace()*9/10 + rand.N(k.pace()/5))
 		select {
 		case <-ctx.Done():
-		case <-ticker.C:
+		case <-timer.C:
 		case <-k.wake:
 		}
+		timer.Stop()
 	}
 }
 
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -17,10 +17,12 @@
 const (
 	// digestInterval is how often an entry VM says that it lives.
 	digestInterval = time.Second
+	// digestPerVM stretches the interval in a large fleet.
+	digestPerVM = 30 * time.Millisecond
 	// minDigestInterval bounds the digests that answer others.
 	minDigestInterval = 200 * time.Millisecond
 	// memberTimeout is how long an entry VM counts after its last digest.
-	memberTimeout = 5 * time.Second
+	memberTimeout = 8 * time.Second
 	// clockError covers the time that a digest takes to be read, and the differences of good clocks.
 	clockError = firstDigestRead + 200*time.Millisecond
 	// minClocks is the number of other entry VMs whose time of day has to be known before it is trusted.
@@ -84,7 +86,7 @@
 	if f.cfg.Now().Sub(f.started) < firstDigests {
 		return firstDigestRead
 	}
-	return digestRead
+	return max(digestRead, time.Duration(f.count())*digestPerVM/2)
 }
 
 // runAnnounce writes the digest until ctx ends. A digest that fails isn't repeated: the next one says the same.
@@ -99,7 +101,7 @@
 
 // awaitNext waits until the next digest is due, or another entry VM has started.
 func (f *fleetController) awaitNext(ctx context.Context) {
-	timer := time.NewTimer(digestInterval - minDigestInterval)
+	timer := time.NewTimer(max(digestInterval, time.Duration(f.count())*digestPerVM) - minDigestInterval)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
