--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -50,10 +50,11 @@
 	memoryShare = 60
 	// garbageShare is the growth of the heap between two collections, in hundredths.
 	garbageShare = 200
-	// noticeTime is how long a stopping process serves new connections, until the balancer has seen that it isn't ready.
-	noticeTime = 3 * time.Second
+	// noticeTime is how long a stopping process serves new calls, until the balancer has seen that it isn't ready. Calls
+	// that come later might outlast the grace period.
+	noticeTime = 2600 * time.Millisecond
 	// idleTime is when a stopping process closes connections that are idle.
-	idleTime = 4500 * time.Millisecond
+	idleTime = 3500 * time.Millisecond
 	// stopReserve is left of the grace period to return budgets and end.
 	stopReserve = 700 * time.Millisecond
 	stopPoll    = 20 * time.Millisecond
@@ -248,8 +249,11 @@
 	p.gateway.Drain()
 	idle := false
 	for now := begun; now.Before(ends); now = time.Now() {
-		if now.After(begun.Add(noticeTime)) && p.open.Load() == 0 {
-			break
+		if now.After(begun.Add(noticeTime)) {
+			p.gateway.Close()
+			if p.open.Load() == 0 {
+				break
+			}
 		}
 		if !idle && now.After(begun.Add(idleTime)) {
 			idle = true
--- a/gateway/budgets_test.go
+++ b/gateway/budgets_test.go
@@ -87,3 +87,15 @@
 	b.await("configuration", func() bool { return b.gateway.Catalog().Version == 2 })
 	b.c.Assert(big().body, qt.Equals, "ok")
 }
+
+// TestNoNewCallsNearTheEnd guards against a call that is taken so late in a planned stop that the stop cuts it.
+func TestNoNewCallsNearTheEnd(t *testing.T) {
+	b := newBench(t, answered("late"))
+	b.gateway.Drain()
+	b.c.Assert(b.ask("/order/1").body, qt.Equals, "late")
+	b.gateway.Close()
+	r := b.ask("/order/2")
+	b.c.Assert(r.refused.Reason, qt.Equals, refusal.Draining)
+	b.c.Assert(r.refused.Execution, qt.Equals, refusal.NotRun)
+	b.c.Assert(b.backend.sends, qt.HasLen, 1)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,6 +145,8 @@
 	serving atomic.Int64
 	// draining is set when a planned stop begins.
 	draining atomic.Bool
+	// closed is set when new calls could no longer end before the process does.
+	closed atomic.Bool
 
 	catalogs *catalogController
 	servers  *serverController
@@ -205,6 +207,9 @@
 	g.cfg.Events.Event(event.ProcessDraining, apexlog.Fields{"open": g.serving.Load()})
 }
 
+// Close refuses new calls from now on; those that are open go on.
+func (g *Gateway) Close() { g.closed.Store(true) }
+
 // Settle returns the unused part of all reservations.
 func (g *Gateway) Settle(ctx context.Context) error { return g.budgets.settle(ctx) }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -37,7 +37,7 @@
 	g.serving.Add(1)
 	defer g.serving.Add(-1)
 	r := &request{Call: c, reply: reply, catalog: g.catalogs.now()}
-	for _, filter := range []func(context.Context, *request) *refusal.Error{g.findRoute, g.findTeam, g.quarantine, g.reserve} {
+	for _, filter := range []func(context.Context, *request) *refusal.Error{g.admitNew, g.findRoute, g.findTeam, g.quarantine, g.reserve} {
 		if refused := filter(ctx, r); refused != nil {
 			g.refuse(r, refused)
 			return
@@ -49,6 +49,14 @@
 	x.report()
 }
 
+// admitNew refuses calls that could outlast a planned stop.
+func (g *Gateway) admitNew(context.Context, *request) *refusal.Error {
+	if g.closed.Load() {
+		return refusal.New(refusal.Draining, "the process stops").After(g.cfg.Now())
+	}
+	return nil
+}
+
 func (g *Gateway) findRoute(_ context.Context, r *request) *refusal.Error {
 	if r.catalog == nil {
 		return refusal.New(refusal.NotReady, "no configuration yet").After(g.cfg.Now().Add(startRetry))
