--- /dev/null
+++ b/core/placement/dump.go
@@ -0,0 +1,33 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// ServerDump is what the table believes of a server.
+type ServerDump struct {
+	ID          string    `json:"id"`
+	Service     string    `json:"service"`
+	Zone        string    `json:"zone"`
+	Version     string    `json:"version"`
+	Draining    bool      `json:"draining"`
+	Running     int       `json:"running"`
+	Waiting     int64     `json:"waitingTokens"`
+	Failures    float64   `json:"failures"`
+	PausedUntil time.Time `json:"pausedUntil"`
+}
+
+// Dump lists the servers by id.
+func (t *Table) Dump() []ServerDump {
+	list := make([]ServerDump, 0, len(t.servers))
+	for _, s := range t.servers {
+		list = append(list, ServerDump{
+			ID: s.ID, Service: s.Service, Zone: s.Zone, Version: s.Version, Draining: s.Draining, Running: s.running,
+			Waiting: s.waiting, Failures: s.failures, PausedUntil: s.pausedUntil,
+		})
+	}
+	slices.SortFunc(list, func(a, b ServerDump) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
