--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -64,8 +64,8 @@
 	spent, held int64
 	rate        float64
 	rateAt      time.Time
-	// usual is the rate before a planned stop began.
-	usual float64
+	// rateBeforeDrain is the rate before a planned stop began.
+	rateBeforeDrain float64
 	// waiting is the sum of tokens of the calls that wait for them.
 	waiting int64
 }
@@ -203,5 +203,5 @@
 // Drain keeps the rate for the next life of the entry VM, before its callers go elsewhere.
 func (a *Account) Drain(now time.Time) {
 	a.decay(now)
-	a.usual = a.rate
+	a.rateBeforeDrain = a.rate
 }
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -128,6 +128,6 @@
 	a.decay(now)
 	used := a.spent + a.held
 	return Plan{Reason: Close, Record: Record{
-		Reserved: used, Base: used, Used: a.spent, At: at.UnixMilli(), Rate: int64(max(a.rate, a.usual)),
+		Reserved: used, Base: used, Used: a.spent, At: at.UnixMilli(), Rate: int64(max(a.rate, a.rateBeforeDrain)),
 	}}
 }
--- a/core/placement/belief.go
+++ b/core/placement/belief.go
@@ -51,7 +51,7 @@
 		return
 	}
 	s.waiting -= p.tokens
-	s.answered(p.sentAt)
+	s.clearPending(p.sentAt)
 	key := keyOf(s.Service, p.tokens)
 	p.tokens = 0
 	took := max(now.Sub(p.sentAt).Seconds(), minFirst.Seconds())
@@ -60,7 +60,7 @@
 		t.firsts[key] = took
 		return
 	}
-	s.forgive(now)
+	s.decaySlowness(now)
 	s.slowness += (min(took/usual, maxSlowness) - s.slowness) * slownessWeight
 	t.firsts[key] = usual + (took-usual)*usualWeight
 }
@@ -69,15 +69,15 @@
 	return firstKey{service: service, size: bits.Len64(uint64(max(tokens, 0)) / sizeStep)}
 }
 
-func (s *server) answered(sentAt time.Time) {
+func (s *server) clearPending(sentAt time.Time) {
 	i := slices.IndexFunc(s.unanswered, func(p pending) bool { return p.sentAt.Equal(sentAt) })
 	if i >= 0 {
 		s.unanswered = slices.Delete(s.unanswered, i, i+1)
 	}
 }
 
-// suspect raises the slowness of a server that owes a first event for long.
-func (s *server) suspect(now time.Time) {
+// raiseSlowness raises the slowness of a server that owes a first event for long.
+func (s *server) raiseSlowness(now time.Time) {
 	if len(s.unanswered) == 0 {
 		return
 	}
@@ -87,8 +87,8 @@
 	}
 }
 
-// forgive brings the slowness back to that of the service, since a server that is avoided can't show that it is well.
-func (s *server) forgive(now time.Time) {
+// decaySlowness brings the slowness back to that of the service, since a server that is avoided can't show that it is well.
+func (s *server) decaySlowness(now time.Time) {
 	if passed := now.Sub(s.slowAt); !s.slowAt.IsZero() && passed > 0 {
 		s.slowness = 1 + (s.slowness-1)*math.Exp(-float64(passed)/float64(slownessMemory))
 	}
@@ -104,8 +104,8 @@
 	s.running--
 	s.waiting -= p.tokens
 	if p.tokens > 0 {
-		s.suspect(now)
-		s.answered(p.sentAt)
+		s.raiseSlowness(now)
+		s.clearPending(p.sentAt)
 	}
 	before := s.pausedUntil
 	t.judge(now, s, o)
--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -179,7 +179,7 @@
 func (t *Table) Choose(now time.Time, r Request) (Placement, bool) {
 	usable := t.usable(now, r)
 	for _, s := range usable {
-		s.forgive(now)
+		s.decaySlowness(now)
 	}
 	if len(usable) == 0 {
 		return Placement{}, false
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -74,7 +74,7 @@
 
 func (b *budgetController) wakeAll() {
 	for _, k := range b.books {
-		k.poke()
+		k.wakeLoop()
 	}
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -63,7 +63,7 @@
 	notRun bool
 	// arrived is set when a server got the request.
 	arrived bool
-	// answer is kept to be passed on if there is no other; it is closed by the exchange.
+	// answer is kept to be passed on if there is no other.
 	answer Answer
 	body   []byte
 	err    error
@@ -101,6 +101,9 @@
 			x.giveUp(ctx, v)
 			return
 		}
+		if v.answer != nil {
+			v.answer.Close()
+		}
 		x.excluded = append(x.excluded, p.Server.ID)
 		x.g.cfg.Metrics.Retry()
 	}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -156,7 +156,7 @@
 		now := f.cfg.Now()
 		f.members[r.Key] = now
 		if fresh && r.Key != f.cfg.Name {
-			f.meet(r.Key, d.Incarnation)
+			f.answerStart(r.Key, d.Incarnation)
 			f.offsets[r.Key] = time.UnixMilli(d.Time).Sub(now.Round(0))
 		}
 	}
@@ -166,8 +166,8 @@
 	}
 }
 
-// meet answers an entry VM that has started with a digest. The caller holds mu.
-func (f *fleetController) meet(name, incarnation string) {
+// answerStart answers an entry VM that has started with a digest. The caller holds mu.
+func (f *fleetController) answerStart(name, incarnation string) {
 	if f.lives[name] == incarnation {
 		return
 	}
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -111,7 +111,7 @@
 		return true, 0
 	}
 	a.Await(tokens)
-	k.poke()
+	k.wakeLoop()
 	return false, k.begun
 }
 
--- a/gateway/renew.go
+++ b/gateway/renew.go
@@ -18,8 +18,8 @@
 	"ibiswinch/io/apexlog"
 )
 
-// poke wakes the loop.
-func (k *ledger) poke() {
+// wakeLoop wakes the loop.
+func (k *ledger) wakeLoop() {
 	select {
 	case k.wake <- struct{}{}:
 	default:
