--- a/standin/keyedlog/keyedlog.go
+++ b/standin/keyedlog/keyedlog.go
@@ -29,7 +29,10 @@
 	Silent
 )
 
-const maxPage = 500
+const (
+	maxPage          = 500
+	defaultKilobytes = 1024
+)
 
 type record struct {
 	key   string
@@ -184,7 +187,7 @@
 			reply(w, http.StatusGone, map[string]any{"first_offset": first})
 			return
 		case len(records) > 0 || wait == 0:
-			_, _ = w.Write(encode(first, end, records))
+			_, _ = w.Write(encode(first, end, limited(records, q.Get("max_kilobytes"))))
 			return
 		}
 		select {
@@ -197,6 +200,22 @@
 	}
 }
 
+// limited cuts the records after the given size; at least one is kept.
+func limited(records []record, kilobytes string) []record {
+	limit, err := strconv.Atoi(kilobytes)
+	if err != nil {
+		limit = defaultKilobytes
+	}
+	size := 0
+	for i, r := range records {
+		size += len(r.key) + len(r.value)
+		if i > 0 && size > limit<<10 {
+			return records[:i]
+		}
+	}
+	return records
+}
+
 func (s *Server) serveNewest(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	s.mu.Lock()
