--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -31,7 +31,7 @@
 }
 
 type platformCommand struct {
-	Settings string `type:"existingfile" env:"IBISWINCH_NODE_FILE" required:"" help:"Settings file of the platform."`
+	Settings string `type:"existingfile" help:"Settings file; by default the one that the platform names in the environment."`
 	LogLevel string `default:"info" enum:"debug,info,warn,error" help:"Lowest level that is logged."`
 }
 
@@ -69,6 +69,9 @@
 
 // Run serves until SIGTERM, then drains.
 func (c *platformCommand) Run() error {
+	if c.Settings == "" {
+		c.Settings = os.Getenv(platform.SettingsVariable)
+	}
 	settings, err := platform.LoadSettings(c.Settings)
 	if err != nil {
 		return err
--- a/core/escrow/book.go
+++ b/core/escrow/book.go
@@ -91,6 +91,3 @@
 
 // Used is what the holders have reported to be used.
 func (b *Book) Used() int64 { return b.used }
-
-// Idle is what the holders have reserved and not used.
-func (b *Book) Idle() int64 { return b.idles }
--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -36,8 +36,6 @@
 	Tokens       int64
 	// Excluded servers have failed this call.
 	Excluded []string
-	// Accept filters by version; nil accepts all.
-	Accept func(version string) bool
 }
 
 // Placement is the hold that a call has on a server.
@@ -164,17 +162,6 @@
 	return ids
 }
 
-// Versions counts the servers of a service that take calls, by version.
-func (t *Table) Versions(service string) map[string]int {
-	n := map[string]int{}
-	for _, s := range t.byService[service] {
-		if !s.Draining && !s.gone {
-			n[s.Version]++
-		}
-	}
-	return n
-}
-
 // Choose places a call. It reports false if no server takes calls.
 func (t *Table) Choose(now time.Time, r Request) (Placement, bool) {
 	usable := t.usable(now, r)
@@ -209,7 +196,7 @@
 	var usable []*server
 	var first *server
 	for _, s := range t.byService[r.Service] {
-		if s.Draining || s.gone || slices.Contains(r.Excluded, s.ID) || r.Accept != nil && !r.Accept(s.Version) {
+		if s.Draining || s.gone || slices.Contains(r.Excluded, s.ID) {
 			continue
 		}
 		if now.Before(s.pausedUntil) {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -39,7 +39,6 @@
 	Count       uint64 `json:"count"`
 	// Time is the author's time of day in Unix milliseconds.
 	Time    int64   `json:"time"`
-	Leaving bool    `json:"leaving,omitempty"`
 	Crashes []crash `json:"crashes,omitempty"`
 }
 
@@ -92,7 +91,7 @@
 // runAnnounce writes the digest until ctx ends. A digest that fails isn't repeated: the next one says the same.
 func (f *fleetController) runAnnounce(ctx context.Context) error {
 	for ctx.Err() == nil {
-		_ = f.announce(ctx, false)
+		_ = f.announce(ctx)
 		pause(ctx, minDigestInterval)
 		f.awaitNext(ctx)
 	}
@@ -110,10 +109,10 @@
 	}
 }
 
-func (f *fleetController) announce(ctx context.Context, leaving bool) error {
+func (f *fleetController) announce(ctx context.Context) error {
 	f.sent++
 	value, err := json.Marshal(digest{
-		Incarnation: f.cfg.Incarnation, Count: f.sent, Time: f.cfg.Now().UnixMilli(), Leaving: leaving, Crashes: f.suspects.own(),
+		Incarnation: f.cfg.Incarnation, Count: f.sent, Time: f.cfg.Now().UnixMilli(), Crashes: f.suspects.own(),
 	})
 	if err != nil {
 		return eris.Wrap(err, "encode digest")
@@ -150,15 +149,11 @@
 		return
 	}
 	f.mu.Lock()
-	if d.Leaving {
-		delete(f.members, r.Key)
-	} else {
-		now := f.cfg.Now()
-		f.members[r.Key] = now
-		if fresh && r.Key != f.cfg.Name {
-			f.answerStart(r.Key, d.Incarnation)
-			f.offsets[r.Key] = time.UnixMilli(d.Time).Sub(now.Round(0))
-		}
+	now := f.cfg.Now()
+	f.members[r.Key] = now
+	if fresh && r.Key != f.cfg.Name {
+		f.answerStart(r.Key, d.Incarnation)
+		f.offsets[r.Key] = time.UnixMilli(d.Time).Sub(now.Round(0))
 	}
 	f.mu.Unlock()
 	if r.Key != f.cfg.Name {
