placement: overdue first events count when a call is placed, not only when one ends

Cause (found reading the whole change): the check was meant to run at each placement, and an edit had left it at the end of calls only; the test that was to guard it passed because crowding moved the calls. TestOverdueFirstEvent uses prompts too small for that; it fails without the call and passes with it. Also: membership.Hash in place of a second rendezvous hash of the same form; the number of entry VMs is taken once for each look at the ledger instead of twice for each team; a counter in digests that nobody read is gone.

--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -9,7 +9,10 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
+
+	"ibiswinch/core/membership"
 )
 
 // Server is what a server says of itself.
@@ -167,6 +170,7 @@
 	usable := t.usable(now, r)
 	for _, s := range usable {
 		s.decaySlowness(now)
+		s.raiseSlowness(now)
 	}
 	if len(usable) == 0 {
 		return Placement{}, false
@@ -221,10 +225,11 @@
 	}
 	mean /= float64(len(usable))
 	bound := mean*crowdedFactor + crowdedSlack
+	key := strconv.FormatUint(chain, 16)
 	var first, second *server
 	var firstScore, secondScore uint64
 	for _, s := range usable {
-		score := chainScore(chain, s.ID)
+		score := membership.Hash(key, s.ID)
 		switch {
 		case first == nil || score > firstScore:
 			second, secondScore = first, firstScore
@@ -242,19 +247,6 @@
 	return first, 0
 }
 
-// chainScore is the weight of rendezvous hashing.
-func chainScore(chain uint64, id string) uint64 {
-	h := chain ^ 0x9e3779b97f4a7c15
-	for i := range len(id) {
-		h = (h ^ uint64(id[i])) * 0x100000001b3
-	}
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
-
 // byLoad takes the least loaded server; ties are broken at random. Servers of the own zone are preferred.
 func (t *Table) byLoad(usable []*server) *server {
 	var best *server
--- a/core/placement/table_test.go
+++ b/core/placement/table_test.go
@@ -148,6 +148,20 @@
 	c.Assert(sent < 5, qt.IsTrue, qt.Commentf("%d of 100 calls", sent))
 }
 
+// TestOverdueFirstEvent guards against chains that keep waiting behind a call whose first event is overdue, until that
+// call ends.
+func TestOverdueFirstEvent(t *testing.T) {
+	c := qt.New(t)
+	a := table(4, 1)
+	// Small prompts, so that the load of the first choice isn't what moves the chain.
+	r := placement.Request{Service: service, Session: 1, SharedTokens: 900, Tokens: 1000}
+	first, _ := a.Choose(start, r)
+	soon, _ := a.Choose(start.Add(50*time.Millisecond), r)
+	c.Assert(soon.Server.ID, qt.Equals, first.Server.ID)
+	late, _ := a.Choose(start.Add(time.Second), r)
+	c.Assert(late.Server.ID, qt.Not(qt.Equals), first.Server.ID)
+}
+
 // TestSlowServerLosesChains guards against chains that stay at a server that has become several times slower.
 func TestSlowServerLosesChains(t *testing.T) {
 	c := qt.New(t)
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -36,7 +36,6 @@
 // digest is what an entry VM tells the others.
 type digest struct {
 	Incarnation string `json:"incarnation"`
-	Count       uint64 `json:"count"`
 	// Time is the author's time of day in Unix milliseconds.
 	Time    int64   `json:"time"`
 	Crashes []crash `json:"crashes,omitempty"`
@@ -47,7 +46,6 @@
 	cfg      Config
 	follow   follower
 	suspects *suspectController
-	sent     uint64
 	started  time.Time
 	// soon is signalled when another entry VM has started and waits for the digests of the others.
 	soon chan struct{}
@@ -110,9 +108,8 @@
 }
 
 func (f *fleetController) announce(ctx context.Context) error {
-	f.sent++
 	value, err := json.Marshal(digest{
-		Incarnation: f.cfg.Incarnation, Count: f.sent, Time: f.cfg.Now().UnixMilli(), Crashes: f.suspects.own(),
+		Incarnation: f.cfg.Incarnation, Time: f.cfg.Now().UnixMilli(), Crashes: f.suspects.own(),
 	})
 	if err != nil {
 		return eris.Wrap(err, "encode digest")
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -169,13 +169,13 @@
 }
 
 // floors are the least amounts of a team's account. They are bounded by small parts of the budget, so that the
-// processes that die at once leave most of it.
-func (k *ledger) floors(team string) escrow.Floors {
-	limit, n := k.limit(team), int64(max(k.b.fleet.count(), 1))
+// processes that die at once leave most of it. vms is the number of entry VMs.
+func (k *ledger) floors(team string, vms int) escrow.Floors {
+	limit, n := k.limit(team), int64(vms)
 	return escrow.Floors{
 		Want: limit / (floorParts * n), Burst: min(maxBurst, limit*burstShare/100/n), Rate: limit / (rateParts * n),
 		Scarce:  min(scarceTokens*n, limit/5),
-		Refresh: k.pace(),
+		Refresh: pace(vms),
 	}
 }
 
--- a/gateway/renew.go
+++ b/gateway/renew.go
@@ -28,9 +28,7 @@
 
 // pace is the time between two writes that no call waits for. It grows with the fleet, since all write to the same
 // partitions.
-func (k *ledger) pace() time.Duration {
-	return max(planInterval, time.Duration(k.b.fleet.count())*pacePerVM)
-}
+func pace(vms int) time.Duration { return max(planInterval, time.Duration(vms)*pacePerVM) }
 
 func (k *ledger) loop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -38,7 +36,8 @@
 			k.follow.fail(err)
 			pause(ctx, retryPause)
 		}
-		timer := time.NewTimer(k.pace()*9/10 + rand.N(k.pace()/5))
+		interval := pace(k.b.fleet.count())
+		timer := time.NewTimer(interval*9/10 + rand.N(interval/5))
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -51,9 +50,9 @@
 func (k *ledger) wants() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now := k.b.cfg.Now()
+	now, vms := k.b.cfg.Now(), k.b.fleet.count()
 	for team, a := range k.accounts {
-		if a.Wants(now, k.floors(team), k.limit(team), k.team(team)) {
+		if a.Wants(now, k.floors(team, vms), k.limit(team), k.team(team)) {
 			return true
 		}
 	}
@@ -133,10 +132,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var plans []plan
-	now := k.b.cfg.Now()
+	now, vms := k.b.cfg.Now(), k.b.fleet.count()
 	for _, team := range slices.Sorted(maps.Keys(k.accounts)) {
 		a := k.accounts[team]
-		p := a.Plan(now, k.b.fleet.timeOfDay(), k.floors(team), k.limit(team), k.team(team))
+		p := a.Plan(now, k.b.fleet.timeOfDay(), k.floors(team, vms), k.limit(team), k.team(team))
 		if p.Reason == escrow.None {
 			continue
 		}
