escrow, gateway, io/peer: entry VMs draw tokens from each other

Cause: calls were refused while other entry VMs had idle reserves of the same team. A probe (UDP between all entry VMs on a scratch copy) showed that they reach each other while they are cut off from the store (node_cut); only zone_cut cuts them. What is given is charged to the giver's reservation, so the sum of reservations in the ledger stays the bound; a lost reply strands tokens and never doubles them (TestBudgetIsNeverPassed with transfers; red with a giver that charges one token less). Ruled out: that the cuts also separate entry VMs.

--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -22,6 +22,7 @@
 	"ibiswinch/core/retry"
 	"ibiswinch/gateway"
 	"ibiswinch/io/apexlog"
+	"ibiswinch/io/peer"
 	"ibiswinch/io/prometheus"
 	"ibiswinch/platform"
 )
@@ -121,7 +122,7 @@
 	}
 	p.gateway = gateway.New(gateway.Config{
 		Name: s.Name, Incarnation: incarnation, Zone: s.Zone, Log: platform.NewStore(s.Store), Decoder: platform.Decoder{},
-		Backend: platform.NewServers(time.Now), Now: time.Now, Events: p.events, Metrics: p.metrics,
+		Backend: platform.NewServers(time.Now), Peers: peer.NewPoolClient(platform.PeerDialer()), Address: s.Peers, Now: time.Now, Events: p.events, Metrics: p.metrics,
 		Retries:          retry.WindowConfig{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
 		LedgerPartitions: max(int(s.StoreReads/readsPerPartition), 1), Seed: uint64(time.Now().UnixNano()),
 		Pressed: p.output.Pressed,
@@ -188,6 +189,7 @@
 		server *http.Server
 	}{
 		{p.settings.Callers, callers},
+		{p.settings.Peers, &http.Server{Handler: peer.NewPoolHandler(p.gateway), ReadHeaderTimeout: headerTimeout}},
 		{p.settings.Readiness, &http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout}},
 		{netip.AddrPortFrom(p.settings.Address, metricsPort), &http.Server{Handler: inspection, ReadHeaderTimeout: headerTimeout}},
 	} {
--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -26,6 +26,8 @@
 	endPace    = 25
 	// requestTokens is the size of a large request.
 	requestTokens = 9000
+	// giveParts is the number of parts of what is left, of which one is given beyond the need of the receiver.
+	giveParts = 4
 	// ampleBurst is the number of large requests that are usable at once before the end of a budget is near.
 	ampleBurst = 2
 )
@@ -57,13 +59,16 @@
 	// inherited is the last record of the life before, until its unused part is known.
 	inherited *Record
 	// proven is set when the store has accepted a write of this life. It rules out writes of the life before that are
-	// still under way; until then nothing may be spent.
+	// still under way; until then nothing of the reservation may be spent.
 	proven bool
 
-	// spent is used for good, held is reserved for calls that run.
-	spent, held int64
-	rate        float64
-	rateAt      time.Time
+	// spent is used for good, held is reserved for calls that run. credit is what other entry VMs gave to this account
+	// less what it gave to them; they have charged it to their own reservations.
+	spent, held, credit int64
+	// opening is what was charged when this life began.
+	opening int64
+	rate    float64
+	rateAt  time.Time
 	// rateBeforeDrain is the rate before a planned stop began.
 	rateBeforeDrain float64
 	// waiting is the sum of tokens of the calls that wait for them.
@@ -79,7 +84,7 @@
 // NewAccount returns the account of an entry VM that starts. All that its life before reserved counts as used, until
 // Recover says otherwise; its rate is where the new one begins, since the same callers come back.
 func NewAccount(now time.Time, holder string, r Record) *Account {
-	a := &Account{holder: holder, confirmed: r, sentAt: now, spent: r.Reserved}
+	a := &Account{holder: holder, confirmed: r, sentAt: now, spent: r.Reserved + r.Credit, credit: r.Credit, opening: r.Reserved}
 	a.rate, a.rateAt = float64(r.Rate), now
 	if r.Reserved > r.Base {
 		a.inherited = &r
@@ -95,6 +100,7 @@
 	unused := a.inherited.Reserved - a.inherited.Bound(age)
 	a.inherited = nil
 	a.spent -= unused
+	a.opening -= unused
 	return unused
 }
 
@@ -106,10 +112,13 @@
 	return *a.inherited, true
 }
 
-// usable is the sum of tokens that may be spent or held now.
+// charged is what the own reservation pays for.
+func (a *Account) charged() int64 { return a.spent + a.held - a.credit }
+
+// usable is the most that may be charged now. Before the first accepted write only what others give may be spent.
 func (a *Account) usable(now time.Time) int64 {
 	if !a.proven {
-		return a.spent + a.held
+		return a.opening
 	}
 	most := a.confirmed.Bound(now.Sub(a.sentAt))
 	for _, w := range a.writes {
@@ -119,7 +128,7 @@
 }
 
 // Left is what can still be admitted.
-func (a *Account) Left(now time.Time) int64 { return a.usable(now) - a.spent - a.held }
+func (a *Account) Left(now time.Time) int64 { return a.usable(now) - a.charged() }
 
 // Idle is what is reserved and neither used nor held.
 func (a *Account) Idle() int64 {
@@ -127,7 +136,7 @@
 	for _, w := range a.writes {
 		reserved = min(reserved, w.record.Reserved)
 	}
-	return reserved - a.spent - a.held
+	return reserved - a.charged()
 }
 
 // Used is what was used for good.
@@ -136,6 +145,9 @@
 // Held is what running calls hold.
 func (a *Account) Held() int64 { return a.held }
 
+// Credit is what other entry VMs gave less what they got.
+func (a *Account) Credit() int64 { return a.credit }
+
 // Reserved is what the store has confirmed.
 func (a *Account) Reserved() int64 { return a.confirmed.Reserved }
 
@@ -148,9 +160,38 @@
 	return true
 }
 
+// Give takes tokens out of the account for another entry VM and returns how many: what is needed if there is as much,
+// and up to want while most of the rest is kept. What it gives is charged here, whether it arrives or not.
+func (a *Account) Give(now time.Time, need, want int64) int64 {
+	left := max(a.Left(now), 0)
+	n := min(left, max(need, 0))
+	n += min(max(want-n, 0), (left-n)/giveParts)
+	a.credit -= n
+	return n
+}
+
+// GiveAll takes everything that is neither used nor held out of the account.
+func (a *Account) GiveAll(now time.Time) int64 {
+	n := max(a.Left(now), 0)
+	a.credit -= n
+	return n
+}
+
+// Receive takes tokens that another entry VM has given.
+func (a *Account) Receive(tokens int64) { a.credit += tokens }
+
 // Await notes that a call waits for tokens; Leave ends that.
 func (a *Account) Await(tokens int64) { a.waiting += tokens }
 
+// Waiting is the sum of tokens that calls wait for.
+func (a *Account) Waiting() int64 { return a.waiting }
+
+// RateAt is the recent use in tokens a second.
+func (a *Account) RateAt(now time.Time) float64 {
+	a.decay(now)
+	return a.rate
+}
+
 // Leave notes that a call waits no more.
 func (a *Account) Leave(tokens int64) { a.waiting -= tokens }
 
@@ -194,7 +235,10 @@
 // adopt takes over a write of the life before that was carried out after the start of this one.
 func (a *Account) adopt(r Record) {
 	if a.inherited != nil {
-		a.spent += r.Reserved - a.inherited.Reserved
+		reserved, credit := r.Reserved-a.inherited.Reserved, r.Credit-a.inherited.Credit
+		a.spent += reserved + credit
+		a.credit += credit
+		a.opening += reserved
 		a.inherited = &r
 	}
 	a.confirmed = r
--- a/core/escrow/book.go
+++ b/core/escrow/book.go
@@ -11,9 +11,12 @@
 type Record struct {
 	// Reserved is the sum of tokens that the holder may use, over all its lives.
 	Reserved int64 `json:"reserved"`
-	// Base is what was used or held for running calls when the record was written, Used what was used for good.
+	// Base is what was charged to the reservation when the record was written: used or held for running calls, less
+	// Credit. Used is what was used for good, whoever it was charged to.
 	Base int64 `json:"base"`
 	Used int64 `json:"used"`
+	// Credit is what other holders gave to this one less what it gave to them.
+	Credit int64 `json:"credit,omitempty"`
 	// At is the fleet's time of day when the record was written, in Unix milliseconds.
 	At int64 `json:"at"`
 	// Burst is usable beyond Base at once; Slow is added each second until the record is slowAge old.
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -7,7 +7,7 @@
 
 // UsableAt is when tokens can be admitted without another record, zero if never.
 func (a *Account) UsableAt(now time.Time, tokens int64) time.Time {
-	need := a.spent + a.held + tokens
+	need := a.charged() + tokens
 	age, ok := a.confirmed.ageOf(need)
 	if !ok || len(a.writes) > 0 && a.Idle() < tokens {
 		return time.Time{}
@@ -66,7 +66,7 @@
 		return Plan{}
 	}
 	return Plan{Reason: reason, Record: Record{
-		Reserved: reserved, Base: a.spent + a.held, Used: a.spent, Want: want, At: at.UnixMilli(), Burst: burst,
+		Reserved: reserved, Base: a.charged(), Used: a.spent, Credit: a.credit, Want: want, At: at.UnixMilli(), Burst: burst,
 		Slow: a.slow(limit, book), Rate: max(f.Rate, int64(a.rate)),
 	}}
 }
@@ -119,15 +119,15 @@
 
 // stale reports whether the record in the store leaves much open if the process dies now.
 func (a *Account) stale(now time.Time, f Floors) bool {
-	behind := a.spent+a.held-a.confirmed.Base > minReturn
+	behind := a.charged()-a.confirmed.Base > minReturn
 	return (a.Idle() > minReturn || behind) && now.Sub(a.sentAt) >= f.Refresh
 }
 
 // Close returns everything that isn't used or held.
 func (a *Account) Close(now, at time.Time) Plan {
 	a.decay(now)
-	used := a.spent + a.held
+	charged := a.charged()
 	return Plan{Reason: Close, Record: Record{
-		Reserved: used, Base: used, Used: a.spent, At: at.UnixMilli(), Rate: int64(max(a.rate, a.rateBeforeDrain)),
+		Reserved: charged, Base: charged, Used: a.spent, Credit: a.credit, At: at.UnixMilli(), Rate: int64(max(a.rate, a.rateBeforeDrain)),
 	}}
 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -105,6 +105,8 @@
 	ReservationRecovered = Event{421, Info, "unused reservation of the process before recovered"}
 	ReservationFailed    = Event{422, Warn, "reservation not confirmed"}
 	ReservationShort     = Event{423, Info, "reservation too small for a request"}
+	TokensDrawn          = Event{424, Info, "tokens drawn from other entry VMs"}
+	TokensHanded         = Event{425, Info, "unused tokens handed to another entry VM"}
 )
 
 // Peers: 800 to 899.
@@ -124,6 +126,7 @@
 		ConfigInForce, ConfigFromPeer, ConfigRejected,
 		HolderClosed, HolderSealed, BillHeldLocally, BillsAdopted, BillsFull, BudgetExhausted, DuplicateBill,
 		ReservationChanged, ReservationRecovered, ReservationFailed, ReservationShort,
+		TokensDrawn, TokensHanded,
 		OrderUnknown, OrderWithdrawn, ChangeStopped, ChangeTakenBack, ChangeDone,
 		ServerCrashed, StreamResumed, StreamSuspended, RequestFailed, RequestQuarantine, MemoryFull,
 		ServerSeen, ServerGone, ServerPaused, RequestEnded, RequestRefused, AttemptFailed, LinesDropped,
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -54,7 +54,7 @@
 	for i := range max(cfg.LedgerPartitions, 1) {
 		k := &ledger{
 			b: b, wake: make(chan struct{}, 1), teams: map[string]*escrow.Book{}, accounts: map[string]*escrow.Account{},
-			changed: make(chan struct{}),
+			changed: make(chan struct{}), drawings: map[string]*drawing{}, emptyUntil: map[string]time.Time{},
 		}
 		k.follow = follower{cfg: cfg, partition: keyed.Partition{Stream: keyed.Ledger, Number: i}, apply: k.apply, snapshot: k.snapshot,
 			lost: func(time.Time) { k.setAway(true) }, regained: func(time.Time) { k.setAway(false) }}
@@ -112,16 +112,27 @@
 	}
 	timer := time.NewTimer(until.Sub(b.cfg.Now()))
 	defer timer.Stop()
+	patience := time.NewTimer(lookPatience)
+	defer patience.Stop()
+	impatient, drawn := false, false
 	for {
-		admitted, changed, look := k.retry(team.Name, tokens, mark)
+		admitted, changed, hopeless := k.retry(team.Name, tokens, mark)
 		switch {
 		case admitted:
 			return nil
-		case look || !b.cfg.Now().Before(until):
+		case (hopeless || impatient) && !drawn:
+			drawn = true
+			if b.draw(ctx, k, team.Name, tokens) {
+				return nil
+			}
+			continue
+		case hopeless || !b.cfg.Now().Before(until):
 			return k.refuse(id, team.Name, tokens)
 		}
 		select {
 		case <-changed:
+		case <-patience.C:
+			impatient = true
 		case <-timer.C:
 		case <-ctx.Done():
 			return refusal.New(refusal.CallerGone, "the caller left while tokens were reserved")
@@ -171,5 +182,9 @@
 	for _, k := range b.books {
 		errs = append(errs, k.settle(ctx))
 	}
-	return errors.Join(errs...)
+	err := errors.Join(errs...)
+	if err != nil {
+		b.handAll(context.WithoutCancel(ctx))
+	}
+	return err
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -36,6 +37,8 @@
 // digest is what an entry VM tells the others.
 type digest struct {
 	Incarnation string `json:"incarnation"`
+	// Address is where the author serves other entry VMs.
+	Address string `json:"address,omitempty"`
 	// Time is the author's time of day in Unix milliseconds.
 	Time    int64   `json:"time"`
 	Crashes []crash `json:"crashes,omitempty"`
@@ -52,6 +55,9 @@
 
 	mu      sync.Mutex
 	members map[string]time.Time
+	// addresses are those of the others; silent are the deadlines until which some count as out of reach.
+	addresses map[string]netip.AddrPort
+	silent    map[string]time.Time
 	// offsets are the times of day of the others against the own one.
 	offsets map[string]time.Duration
 	// lives are the incarnations of the others.
@@ -62,7 +68,7 @@
 
 func newFleetController(cfg Config, suspects *suspectController) *fleetController {
 	f := &fleetController{cfg: cfg, suspects: suspects, members: map[string]time.Time{}, offsets: map[string]time.Duration{}, started: cfg.Now(),
-		soon: make(chan struct{}, 1), lives: map[string]string{}}
+		soon: make(chan struct{}, 1), lives: map[string]string{}, addresses: map[string]netip.AddrPort{}, silent: map[string]time.Time{}}
 	f.follow = follower{
 		cfg: cfg, partition: keyed.Partition{Stream: keyed.Fleet}, apply: f.apply,
 		snapshot: f.snapshot, lost: func(time.Time) { f.setAway(true) }, regained: func(time.Time) { f.setAway(false) },
@@ -109,7 +115,7 @@
 
 func (f *fleetController) announce(ctx context.Context) error {
 	value, err := json.Marshal(digest{
-		Incarnation: f.cfg.Incarnation, Time: f.cfg.Now().UnixMilli(), Crashes: f.suspects.own(),
+		Incarnation: f.cfg.Incarnation, Address: f.cfg.Address.String(), Time: f.cfg.Now().UnixMilli(), Crashes: f.suspects.own(),
 	})
 	if err != nil {
 		return eris.Wrap(err, "encode digest")
@@ -148,6 +154,9 @@
 	f.mu.Lock()
 	now := f.cfg.Now()
 	f.members[r.Key] = now
+	if addr, err := netip.ParseAddrPort(d.Address); err == nil && r.Key != f.cfg.Name {
+		f.addresses[r.Key] = addr
+	}
 	if fresh && r.Key != f.cfg.Name {
 		f.answerStart(r.Key, d.Incarnation)
 		f.offsets[r.Key] = time.UnixMilli(d.Time).Sub(now.Round(0))
@@ -184,12 +193,40 @@
 		default:
 			delete(f.members, name)
 			delete(f.offsets, name)
+			delete(f.addresses, name)
 			f.cfg.Events.Event(event.PeerGone, apexlog.Fields{"peer": name, "age": now.Sub(seen).String()})
 		}
 	}
 	return n + 1
 }
 
+// peer is another entry VM that can be called.
+type peer struct {
+	name string
+	addr netip.AddrPort
+	// suspect is set when it didn't answer lately.
+	suspect bool
+}
+
+// peers are the other entry VMs in a random order.
+func (f *fleetController) peers() []peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Now()
+	list := make([]peer, 0, len(f.addresses))
+	for name, addr := range f.addresses {
+		list = append(list, peer{name: name, addr: addr, suspect: now.Before(f.silent[name])})
+	}
+	return list
+}
+
+// unreachable notes that an entry VM didn't answer.
+func (f *fleetController) unreachable(p peer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent[p.name] = f.cfg.Now().Add(unreachableMemory)
+}
+
 // offset is the median of the fleet's times of day against the own one, so that a minority of clocks that jump is
 // without effect. The caller holds mu.
 func (f *fleetController) offset() time.Duration {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -127,10 +128,13 @@
 	Log         Log
 	Decoder     Decoder
 	Backend     Backend
-	Now         func() time.Time
-	Events      *apexlog.Logger
-	Metrics     Metrics
-	Retries     retry.WindowConfig
+	// Peers are the other entry VMs, nil to do without them; Address is where they reach this one.
+	Peers   Peers
+	Address netip.AddrPort
+	Now     func() time.Time
+	Events  *apexlog.Logger
+	Metrics Metrics
+	Retries retry.WindowConfig
 	// LedgerPartitions is the number of partitions of the ledger, the same on all entry VMs.
 	LedgerPartitions int
 	// Seed feeds the random choices.
@@ -213,5 +217,13 @@
 // Settle returns the unused part of all reservations.
 func (g *Gateway) Settle(ctx context.Context) error { return g.budgets.settle(ctx) }
 
+// GiveTokens gives another entry VM tokens of a team.
+func (g *Gateway) GiveTokens(ctx context.Context, team string, need, want int64) int64 {
+	return g.budgets.give(ctx, team, need, want)
+}
+
+// TakeTokens takes tokens of an entry VM that stops.
+func (g *Gateway) TakeTokens(tokens map[string]int64) { g.budgets.take(tokens) }
+
 // Catalog returns the configuration in force, nil before the first.
 func (g *Gateway) Catalog() *catalog.Catalog { return g.catalogs.now() }
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -36,6 +36,9 @@
 	// begun and ended are the numbers of the last looks at the ledger that began and ended.
 	begun, ended uint64
 	endedAt      time.Time
+	// drawings are the draws from other entry VMs that are under way; a team has none before emptyUntil.
+	drawings   map[string]*drawing
+	emptyUntil map[string]time.Time
 	// changed is closed and replaced whenever accounts or books have changed.
 	changed chan struct{}
 }
--- /dev/null
+++ b/gateway/pool.go
@@ -0,0 +1,265 @@
+package gateway
+
+import (
+	"context"
+	"math"
+	"net/netip"
+	"slices"
+	"time"
+
+	"ibiswinch/core/event"
+	"ibiswinch/io/apexlog"
+)
+
+const (
+	// lookPatience is how long a call waits for the ledger before tokens are drawn from other entry VMs.
+	lookPatience = 40 * time.Millisecond
+	// drawTimeout bounds one call to another entry VM, giveWait how long that one waits for its own look at the ledger.
+	drawTimeout = 100 * time.Millisecond
+	giveWait    = 50 * time.Millisecond
+	// maxDraws is the number of entry VMs that are asked for one call.
+	maxDraws = 8
+	// drawAhead is the time for which tokens are drawn beyond what calls wait for.
+	drawAhead = 400 * time.Millisecond
+	// emptyMemory is how long a draw that brought nothing answers for further ones, unreachableMemory how long an entry
+	// VM that didn't answer is asked last.
+	emptyMemory       = 150 * time.Millisecond
+	unreachableMemory = 2 * time.Second
+	handTimeout       = 150 * time.Millisecond
+)
+
+// Peers are the other entry VMs, which share the reserves of budgets.
+type Peers interface {
+	// Draw asks for tokens of a team. If it fails the tokens may be charged there all the same.
+	Draw(ctx context.Context, addr netip.AddrPort, team string, need, want int64) (int64, error)
+	// Hand brings tokens that are charged here.
+	Hand(ctx context.Context, addr netip.AddrPort, tokens map[string]int64) error
+}
+
+// drawing is a draw under way; further calls for the team wait for its end.
+type drawing struct{ done chan struct{} }
+
+// draw takes tokens from other entry VMs until the call is admitted or nobody has any.
+func (b *budgetController) draw(ctx context.Context, k *ledger, team string, tokens int64) bool {
+	if b.cfg.Peers == nil {
+		return false
+	}
+	for {
+		d, own, admitted := k.beginDraw(team, tokens)
+		switch {
+		case admitted:
+			return true
+		case d == nil:
+			return false
+		case own:
+			b.runDraw(ctx, k, team, tokens)
+			return k.endDraw(team, d, tokens)
+		}
+		select {
+		case <-d.done:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// runDraw asks one entry VM after the other, those first that had most when they last wrote.
+func (b *budgetController) runDraw(ctx context.Context, k *ledger, team string, tokens int64) {
+	asked, drawn := 0, int64(0)
+	for _, p := range b.holders(k, team) {
+		need, want := k.lack(team, tokens)
+		if need <= 0 || asked >= maxDraws || ctx.Err() != nil {
+			break
+		}
+		asked++
+		drawn += b.drawFrom(ctx, k, p, team, need, want)
+	}
+	k.noteDraw(team, drawn)
+	b.cfg.Events.Event(event.TokensDrawn, apexlog.Fields{"team": team, "asked": asked, "tokens": drawn, "call": tokens})
+}
+
+func (b *budgetController) drawFrom(ctx context.Context, k *ledger, p peer, team string, need, want int64) int64 {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drawTimeout)
+	defer cancel()
+	n, err := b.cfg.Peers.Draw(ctx, p.addr, team, need, want)
+	if err != nil {
+		b.fleet.unreachable(p)
+		b.cfg.Events.Event(event.PeerUnreachable, apexlog.Fields{"peer": p.name, "error": err.Error()})
+		return 0
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.account(team).Receive(n)
+	k.signal()
+	return n
+}
+
+// holders are the other entry VMs in the order in which they are asked.
+func (b *budgetController) holders(k *ledger, team string) []peer {
+	peers := b.fleet.peers()
+	idle := make(map[string]int64, len(peers))
+	k.mu.Lock()
+	for _, p := range peers {
+		r := k.team(team).Record(p.name)
+		idle[p.name] = r.Reserved - r.Base
+	}
+	k.mu.Unlock()
+	slices.SortStableFunc(peers, func(x, y peer) int {
+		if x.suspect != y.suspect {
+			if x.suspect {
+				return 1
+			}
+			return -1
+		}
+		return int(min(max(idle[y.name]-idle[x.name], math.MinInt32), math.MaxInt32))
+	})
+	return peers
+}
+
+// give takes tokens out of the account for another entry VM.
+func (b *budgetController) give(ctx context.Context, team string, need, want int64) int64 {
+	k := b.bookOf(team)
+	if !k.isReady() || k.limit(team) == 0 {
+		return 0
+	}
+	given, mark := k.give(team, need, want)
+	if given >= need {
+		return given
+	}
+	defer k.leave(team, need-given)
+	timer := time.NewTimer(giveWait)
+	defer timer.Stop()
+	for {
+		more, changed, hopeless := k.giveAgain(team, need-given, want-given, mark)
+		if more > 0 || hopeless {
+			return given + more
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return given
+		case <-ctx.Done():
+			return given
+		}
+	}
+}
+
+// handAll brings all unused tokens to another entry VM at a stop without the ledger.
+func (b *budgetController) handAll(ctx context.Context) {
+	if b.cfg.Peers == nil {
+		return
+	}
+	for _, p := range b.fleet.peers() {
+		if p.suspect || ctx.Err() != nil {
+			continue
+		}
+		tokens := map[string]int64{}
+		for _, k := range b.books {
+			k.giveAll(tokens)
+		}
+		if len(tokens) == 0 {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, handTimeout)
+		err := b.cfg.Peers.Hand(ctx, p.addr, tokens)
+		cancel()
+		if err == nil {
+			b.cfg.Events.Event(event.TokensHanded, apexlog.Fields{"peer": p.name, "teams": len(tokens)})
+			return
+		}
+		// The tokens may have arrived, so they stay charged here.
+		b.fleet.unreachable(p)
+		b.cfg.Events.Event(event.PeerUnreachable, apexlog.Fields{"peer": p.name, "error": err.Error()})
+	}
+}
+
+// take adds tokens that another entry VM has handed over.
+func (b *budgetController) take(tokens map[string]int64) {
+	for team, n := range tokens {
+		if n <= 0 {
+			continue
+		}
+		k := b.bookOf(team)
+		k.mu.Lock()
+		if k.ready {
+			k.account(team).Receive(n)
+			k.signal()
+		}
+		k.mu.Unlock()
+	}
+}
+
+// beginDraw admits the call, or returns the draw to wait for; own is set if it is the caller's to run.
+func (k *ledger) beginDraw(team string, tokens int64) (d *drawing, own, admitted bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.b.cfg.Now()
+	if k.account(team).Admit(now, tokens) {
+		return nil, false, true
+	}
+	if d := k.drawings[team]; d != nil {
+		return d, false, false
+	}
+	if now.Before(k.emptyUntil[team]) {
+		return nil, false, false
+	}
+	d = &drawing{done: make(chan struct{})}
+	k.drawings[team] = d
+	return d, true, false
+}
+
+// endDraw ends a draw and reports whether its call is admitted now.
+func (k *ledger) endDraw(team string, d *drawing, tokens int64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.drawings, team)
+	close(d.done)
+	return k.account(team).Admit(k.b.cfg.Now(), tokens)
+}
+
+// lack is what a call, and all calls that wait, need beyond what is left.
+func (k *ledger) lack(team string, tokens int64) (need, want int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	a, now := k.account(team), k.b.cfg.Now()
+	left := max(a.Left(now), 0)
+	return tokens - left, max(a.Waiting(), tokens) + int64(a.RateAt(now)*drawAhead.Seconds()) - left
+}
+
+func (k *ledger) noteDraw(team string, drawn int64) {
+	if drawn > 0 {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.emptyUntil[team] = k.b.cfg.Now().Add(emptyMemory)
+}
+
+// give gives what it can at once; if that is too little, the ledger is looked at.
+func (k *ledger) give(team string, need, want int64) (given int64, mark uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	a := k.account(team)
+	given = a.Give(k.b.cfg.Now(), need, want)
+	if given < need {
+		a.Await(need - given)
+		k.wakeLoop()
+	}
+	return given, k.begun
+}
+
+func (k *ledger) giveAgain(team string, need, want int64, mark uint64) (given int64, changed <-chan struct{}, hopeless bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.account(team).Give(k.b.cfg.Now(), need, want), k.changed, k.away || k.ended > mark
+}
+
+func (k *ledger) giveAll(tokens map[string]int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for team, a := range k.accounts {
+		if n := a.GiveAll(k.b.cfg.Now()); n > 0 {
+			tokens[team] += n
+		}
+	}
+}
