gateway: one home for each team and failure domain reserves tokens, the others draw from it

Cause: every entry VM wrote its own reservation of every team: n x t records, and as many bursts that a death strands. Homes follow from the members by rendezvous hashing without talking; an entry VM that gets nothing from the homes reserves itself.

--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -42,6 +42,9 @@
 	Rate int64
 	// Refresh is the age at which a record is written again, so that little is lost if the process dies.
 	Refresh time.Duration
+	// Guest accounts get their tokens from other entry VMs: they never raise their reservation, keep no more than Want,
+	// and write only what they used or return.
+	Guest bool
 	// Scarce is the number of unused tokens of the whole budget below which nobody keeps a reserve, so that the last
 	// tokens aren't split into parts that are too small for a call.
 	Scarce int64
@@ -167,6 +170,8 @@
 	n := min(left, max(need, 0))
 	n += min(max(want-n, 0), (left-n)/giveParts)
 	a.credit -= n
+	a.decay(now)
+	a.rate += float64(n) / rateWindow.Seconds()
 	return n
 }
 
--- a/core/escrow/machine_test.go
+++ b/core/escrow/machine_test.go
@@ -42,6 +42,8 @@
 	next    uint64
 	held    []int64
 	used    int64
+	// guest is the role that the holder has now.
+	guest bool
 	// credit is what was really received from the others less what was given to them.
 	credit int64
 }
@@ -115,7 +117,9 @@
 	if rapid.Bool().Draw(t, "read") {
 		w.read(h)
 	}
-	plan := h.account.Plan(w.now, w.now, floors, w.limit, &h.book)
+	f := floors
+	f.Guest = h.guest
+	plan := h.account.Plan(w.now, w.now, f, w.limit, &h.book)
 	if plan.Reason == escrow.None {
 		return
 	}
@@ -154,6 +158,12 @@
 	}
 }
 
+// change makes a guest of a holder, or a holder of a guest.
+func (w *world) change(t *rapid.T) {
+	h := w.pick(t)
+	h.guest = !h.guest
+}
+
 // carryOut executes a write whose answer was given up long ago.
 func (w *world) carryOut(*rapid.T) {
 	if len(w.store.late) == 0 {
@@ -235,7 +245,7 @@
 		for _, a := range []struct {
 			weight int
 			do     func(*rapid.T)
-		}{{10, w.admit}, {6, w.settle}, {4, w.renew}, {4, w.advance}, {3, w.transfer}, {2, w.carryOut}, {1, w.kill}} {
+		}{{10, w.admit}, {6, w.settle}, {4, w.renew}, {4, w.advance}, {3, w.transfer}, {1, w.change}, {2, w.carryOut}, {1, w.kill}} {
 			for range a.weight {
 				actions = append(actions, a.do)
 			}
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -59,6 +59,9 @@
 
 // Plan decides what to write next. limit is the budget of the team, at the fleet's time of day.
 func (a *Account) Plan(now, at time.Time, f Floors, limit int64, book *Book) Plan {
+	if f.Guest {
+		return a.planGuest(now, at, f)
+	}
 	want := a.want(now, f)
 	reason, reserved := a.decide(now, want, f, limit, book)
 	burst := max(min(f.Burst, a.burst(limit, book)), a.waiting)
@@ -71,6 +74,32 @@
 	}}
 }
 
+// planGuest returns what the account doesn't need. All that is left is usable: it is too little to hold back.
+func (a *Account) planGuest(now, at time.Time, f Floors) Plan {
+	reason, reserved := a.decideGuest(now, f)
+	if reason == None {
+		return Plan{}
+	}
+	base := a.charged()
+	return Plan{Reason: reason, Record: Record{
+		Reserved: reserved, Base: base, Used: a.spent, Credit: a.credit, At: at.UnixMilli(), Burst: max(reserved-base, 0),
+	}}
+}
+
+func (a *Account) decideGuest(now time.Time, f Floors) (Reason, int64) {
+	idle := a.Idle()
+	if len(a.writes) > 0 || now.Sub(a.sentAt) < f.Refresh {
+		return None, 0
+	}
+	if keep := f.Want + int64(a.RateAt(now)); idle > 2*keep {
+		return Return, a.confirmed.Reserved - (idle - keep)
+	}
+	if a.spent-a.confirmed.Used > minReturn {
+		return Refresh, a.confirmed.Reserved
+	}
+	return None, 0
+}
+
 // slow is the growth of the usable part while the store is expected to answer.
 func (a *Account) slow(limit int64, book *Book) int64 {
 	if isAmple(limit, book) {
@@ -92,6 +121,10 @@
 
 // Wants reports whether the ledger should be looked at: a call waits, or Plan would ask for a write.
 func (a *Account) Wants(now time.Time, f Floors, limit int64, book *Book) bool {
+	if f.Guest {
+		reason, _ := a.decideGuest(now, f)
+		return reason != None
+	}
 	if a.waiting > 0 {
 		return true
 	}
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -37,6 +37,12 @@
 	conflictTries = 6
 	// reserveRetry is when a repeat may find tokens that are reserved elsewhere now.
 	reserveRetry = 400 * time.Millisecond
+	// homeTime is how long an entry VM reserves tokens of a team itself after it got none from the homes.
+	homeTime = 5 * time.Second
+	// guestTokens is what an entry VM that isn't a home of a team keeps of its tokens, beside a second's use;
+	// guestRefresh is the pause between its writes.
+	guestTokens  = 10_000
+	guestRefresh = 2 * time.Second
 	// settleTries bounds the attempts to return tokens at a planned stop.
 	settleTries = 8
 )
@@ -55,6 +61,7 @@
 		k := &ledger{
 			b: b, wake: make(chan struct{}, 1), teams: map[string]*escrow.Book{}, accounts: map[string]*escrow.Account{},
 			changed: make(chan struct{}), drawings: map[string]*drawing{}, emptyUntil: map[string]time.Time{},
+			homeUntil: map[string]time.Time{},
 		}
 		k.follow = follower{cfg: cfg, partition: keyed.Partition{Stream: keyed.Ledger, Number: i}, apply: k.apply, snapshot: k.snapshot,
 			lost: func(time.Time) { k.setAway(true) }, regained: func(time.Time) { k.setAway(false) }}
@@ -125,6 +132,7 @@
 			if b.draw(ctx, k, team.Name, tokens) {
 				return nil
 			}
+			mark = k.becomeHome(team.Name)
 			continue
 		case hopeless || !b.cfg.Now().Before(until):
 			return k.refuse(id, team.Name, tokens)
@@ -167,6 +175,7 @@
 
 // drain begins a planned stop.
 func (b *budgetController) drain() {
+	b.fleet.leave()
 	for _, k := range b.books {
 		k.mu.Lock()
 		for _, a := range k.accounts {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"ibiswinch/core/event"
 	"ibiswinch/core/keyed"
+	"ibiswinch/core/membership"
 	"ibiswinch/io/apexlog"
 )
 
@@ -39,6 +42,9 @@
 	Incarnation string `json:"incarnation"`
 	// Address is where the author serves other entry VMs.
 	Address string `json:"address,omitempty"`
+	// Zone is the author's failure domain; Leaving is set when it stops.
+	Zone    string `json:"zone,omitempty"`
+	Leaving bool   `json:"leaving,omitempty"`
 	// Time is the author's time of day in Unix milliseconds.
 	Time    int64   `json:"time"`
 	Crashes []crash `json:"crashes,omitempty"`
@@ -58,6 +64,11 @@
 	// addresses are those of the others; silent are the deadlines until which some count as out of reach.
 	addresses map[string]netip.AddrPort
 	silent    map[string]time.Time
+	// zones are the failure domains of all entry VMs that don't leave; homes are chosen among them.
+	zones map[string]string
+	homes map[string][]string
+	// leaving is set when this entry VM stops.
+	leaving atomic.Bool
 	// offsets are the times of day of the others against the own one.
 	offsets map[string]time.Duration
 	// lives are the incarnations of the others.
@@ -68,7 +79,8 @@
 
 func newFleetController(cfg Config, suspects *suspectController) *fleetController {
 	f := &fleetController{cfg: cfg, suspects: suspects, members: map[string]time.Time{}, offsets: map[string]time.Duration{}, started: cfg.Now(),
-		soon: make(chan struct{}, 1), lives: map[string]string{}, addresses: map[string]netip.AddrPort{}, silent: map[string]time.Time{}}
+		soon: make(chan struct{}, 1), lives: map[string]string{}, addresses: map[string]netip.AddrPort{}, silent: map[string]time.Time{},
+		zones: map[string]string{cfg.Name: cfg.Zone}, homes: map[string][]string{}}
 	f.follow = follower{
 		cfg: cfg, partition: keyed.Partition{Stream: keyed.Fleet}, apply: f.apply,
 		snapshot: f.snapshot, lost: func(time.Time) { f.setAway(true) }, regained: func(time.Time) { f.setAway(false) },
@@ -115,7 +127,7 @@
 
 func (f *fleetController) announce(ctx context.Context) error {
 	value, err := json.Marshal(digest{
-		Incarnation: f.cfg.Incarnation, Address: f.cfg.Address.String(), Time: f.cfg.Now().UnixMilli(), Crashes: f.suspects.own(),
+		Incarnation: f.cfg.Incarnation, Address: f.cfg.Address.String(), Zone: f.cfg.Zone, Leaving: f.leaving.Load(), Time: f.cfg.Now().UnixMilli(), Crashes: f.suspects.own(),
 	})
 	if err != nil {
 		return eris.Wrap(err, "encode digest")
@@ -156,6 +168,7 @@
 	f.members[r.Key] = now
 	if addr, err := netip.ParseAddrPort(d.Address); err == nil && r.Key != f.cfg.Name {
 		f.addresses[r.Key] = addr
+		f.setZone(r.Key, d)
 	}
 	if fresh && r.Key != f.cfg.Name {
 		f.answerStart(r.Key, d.Incarnation)
@@ -194,6 +207,7 @@
 			delete(f.members, name)
 			delete(f.offsets, name)
 			delete(f.addresses, name)
+			f.dropZone(name)
 			f.cfg.Events.Event(event.PeerGone, apexlog.Fields{"peer": name, "age": now.Sub(seen).String()})
 		}
 	}
@@ -204,6 +218,7 @@
 type peer struct {
 	name string
 	addr netip.AddrPort
+	zone string
 	// suspect is set when it didn't answer lately.
 	suspect bool
 }
@@ -215,11 +230,61 @@
 	now := f.cfg.Now()
 	list := make([]peer, 0, len(f.addresses))
 	for name, addr := range f.addresses {
-		list = append(list, peer{name: name, addr: addr, suspect: now.Before(f.silent[name])})
+		list = append(list, peer{name: name, addr: addr, zone: f.zones[name], suspect: now.Before(f.silent[name])})
 	}
 	return list
 }
 
+// setZone and dropZone keep the candidates for homes. The caller holds mu.
+func (f *fleetController) setZone(name string, d digest) {
+	if d.Leaving {
+		f.dropZone(name)
+		return
+	}
+	if old, found := f.zones[name]; !found || old != d.Zone {
+		f.zones[name] = d.Zone
+		clear(f.homes)
+	}
+}
+
+func (f *fleetController) dropZone(name string) {
+	if _, found := f.zones[name]; found {
+		delete(f.zones, name)
+		clear(f.homes)
+	}
+}
+
+// homesOf are the entry VMs that reserve tokens of a team for all others, one in each failure domain. All entry VMs that
+// know the same members agree on them without talking; if they differ, more of them reserve.
+func (f *fleetController) homesOf(team string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if homes, found := f.homes[team]; found {
+		return homes
+	}
+	best := map[string]string{}
+	for name, zone := range f.zones {
+		if held, found := best[zone]; !found || membership.Hash(team, name) > membership.Hash(team, held) {
+			best[zone] = name
+		}
+	}
+	homes := slices.Sorted(maps.Values(best))
+	f.homes[team] = homes
+	return homes
+}
+
+// leave tells the others that this entry VM stops.
+func (f *fleetController) leave() {
+	f.leaving.Store(true)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dropZone(f.cfg.Name)
+	select {
+	case f.soon <- struct{}{}:
+	default:
+	}
+}
+
 // unreachable notes that an entry VM didn't answer.
 func (f *fleetController) unreachable(p peer) {
 	f.mu.Lock()
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -39,6 +40,8 @@
 	// drawings are the draws from other entry VMs that are under way; a team has none before emptyUntil.
 	drawings   map[string]*drawing
 	emptyUntil map[string]time.Time
+	// homeUntil are the deadlines until which this entry VM reserves tokens itself, because no home gave any.
+	homeUntil map[string]time.Time
 	// changed is closed and replaced whenever accounts or books have changed.
 	changed chan struct{}
 }
@@ -114,7 +117,9 @@
 		return true, 0
 	}
 	a.Await(tokens)
-	k.wakeLoop()
+	if k.isHome(team) {
+		k.wakeLoop()
+	}
 	return false, k.begun
 }
 
@@ -128,6 +133,9 @@
 		return true, nil, false
 	}
 	recent := now.Sub(k.endedAt) < lookMemory
+	if !k.isHome(team) {
+		return false, k.changed, true
+	}
 	looked := (k.ended > mark || recent) && k.team(team).Free(k.limit(team))+max(a.Idle(), 0) < tokens
 	return false, k.changed, k.away || looked
 }
@@ -171,10 +179,23 @@
 	return e
 }
 
+// isHome reports whether this entry VM reserves tokens of the team in the ledger; others draw from those that do. The
+// caller holds mu.
+func (k *ledger) isHome(team string) bool {
+	return k.b.cfg.Peers == nil || k.b.cfg.Now().Before(k.homeUntil[team]) ||
+		slices.Contains(k.b.fleet.homesOf(team), k.b.cfg.Name)
+}
+
 // floors are the least amounts of a team's account. They are bounded by small parts of the budget, so that the
-// processes that die at once leave most of it. vms is the number of entry VMs.
+// processes that die at once leave most of it. vms is the number of entry VMs. The caller holds mu.
 func (k *ledger) floors(team string, vms int) escrow.Floors {
+	if !k.isHome(team) {
+		return escrow.Floors{Guest: true, Want: guestTokens, Refresh: guestRefresh}
+	}
 	limit, n := k.limit(team), int64(vms)
+	if k.b.cfg.Peers != nil {
+		n = int64(max(len(k.b.fleet.homesOf(team)), 1))
+	}
 	return escrow.Floors{
 		Want: limit / (floorParts * n), Burst: min(maxBurst, limit*burstShare/100/n), Rate: limit / (rateParts * n),
 		Scarce:  min(scarceTokens*n, limit/5),
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
-	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -26,6 +26,12 @@
 	emptyMemory       = 150 * time.Millisecond
 	unreachableMemory = 2 * time.Second
 	handTimeout       = 150 * time.Millisecond
+	// Entry VMs are asked in the order of what they have, up to maxIdle tokens; homes come before others, those of the own
+	// failure domain first, and those that didn't answer last.
+	maxIdle     = 1 << 30
+	zoneFirst   = 1 << 31
+	homeFirst   = 1 << 32
+	suspectLast = 1 << 33
 )
 
 // Peers are the other entry VMs, which share the reserves of budgets.
@@ -63,7 +69,7 @@
 	}
 }
 
-// runDraw asks one entry VM after the other, those first that had most when they last wrote.
+// runDraw asks one entry VM after the other.
 func (b *budgetController) runDraw(ctx context.Context, k *ledger, team string, tokens int64) {
 	asked, drawn := 0, int64(0)
 	for _, p := range b.holders(k, team) {
@@ -97,25 +103,39 @@
 // holders are the other entry VMs in the order in which they are asked.
 func (b *budgetController) holders(k *ledger, team string) []peer {
 	peers := b.fleet.peers()
-	idle := make(map[string]int64, len(peers))
+	homes := b.fleet.homesOf(team)
+	order := make(map[string]int64, len(peers))
 	k.mu.Lock()
 	for _, p := range peers {
 		r := k.team(team).Record(p.name)
-		idle[p.name] = r.Reserved - r.Base
+		order[p.name] = min(max(r.Reserved-r.Base, 0), maxIdle)
+		if slices.Contains(homes, p.name) {
+			order[p.name] += homeFirst
+		}
+		if p.zone == b.cfg.Zone {
+			order[p.name] += zoneFirst
+		}
+		if p.suspect {
+			order[p.name] -= suspectLast
+		}
 	}
 	k.mu.Unlock()
-	slices.SortStableFunc(peers, func(x, y peer) int {
-		if x.suspect != y.suspect {
-			if x.suspect {
-				return 1
-			}
-			return -1
-		}
-		return int(min(max(idle[y.name]-idle[x.name], math.MinInt32), math.MaxInt32))
-	})
+	slices.SortFunc(peers, func(x, y peer) int { return cmp.Compare(order[y.name], order[x.name]) })
 	return peers
 }
 
+// becomeHome lets this entry VM reserve tokens of the team itself, and returns the number of looks at the ledger that
+// have begun.
+func (k *ledger) becomeHome(team string) uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.isHome(team) {
+		k.homeUntil[team] = k.b.cfg.Now().Add(homeTime)
+		k.wakeLoop()
+	}
+	return k.begun
+}
+
 // give takes tokens out of the account for another entry VM.
 func (b *budgetController) give(ctx context.Context, team string, need, want int64) int64 {
 	k := b.bookOf(team)
