gateway: a call without tokens draws again until its time to wait is over

Cause: after a restart the homes recover their reservations one after the other, and calls were refused after one empty draw.

--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -119,27 +119,27 @@
 	}
 	timer := time.NewTimer(until.Sub(b.cfg.Now()))
 	defer timer.Stop()
-	patience := time.NewTimer(lookPatience)
-	defer patience.Stop()
-	impatient, drawn := false, false
+	retry := time.NewTimer(lookPatience)
+	defer retry.Stop()
+	impatient := false
 	for {
 		admitted, changed, hopeless := k.retry(team.Name, tokens, mark)
 		switch {
 		case admitted:
 			return nil
-		case (hopeless || impatient) && !drawn:
-			drawn = true
+		case !b.cfg.Now().Before(until) || k.exhausted(team.Name, tokens):
+			return k.refuse(id, team.Name, tokens)
+		case hopeless || impatient:
 			if b.draw(ctx, k, team.Name, tokens) {
 				return nil
 			}
 			mark = k.becomeHome(team.Name)
-			continue
-		case hopeless || !b.cfg.Now().Before(until):
-			return k.refuse(id, team.Name, tokens)
+			impatient = false
+			retry.Reset(redrawPause)
 		}
 		select {
 		case <-changed:
-		case <-patience.C:
+		case <-retry.C:
 			impatient = true
 		case <-timer.C:
 		case <-ctx.Done():
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -140,6 +140,13 @@
 	return false, k.changed, k.away || looked
 }
 
+// exhausted reports whether the recorded use leaves no room for a call.
+func (k *ledger) exhausted(team string, tokens int64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.limit(team)-k.team(team).Used() < tokens
+}
+
 // leave notes that a call waits no more.
 func (k *ledger) leave(team string, tokens int64) {
 	k.mu.Lock()
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -14,6 +14,8 @@
 const (
 	// lookPatience is how long a call waits for the ledger before tokens are drawn from other entry VMs.
 	lookPatience = 40 * time.Millisecond
+	// redrawPause is the time after which a call that got no tokens has them drawn once more.
+	redrawPause = 60 * time.Millisecond
 	// drawTimeout bounds one call to another entry VM, giveWait how long that one waits for its own look at the ledger.
 	drawTimeout = 100 * time.Millisecond
 	giveWait    = 50 * time.Millisecond
@@ -23,7 +25,7 @@
 	drawAhead = 400 * time.Millisecond
 	// emptyMemory is how long a draw that brought nothing answers for further ones, unreachableMemory how long an entry
 	// VM that didn't answer is asked last.
-	emptyMemory       = 150 * time.Millisecond
+	emptyMemory       = 50 * time.Millisecond
 	unreachableMemory = 2 * time.Second
 	handTimeout       = 150 * time.Millisecond
 	// Entry VMs are asked in the order of what they have, up to maxIdle tokens; homes come before others, those of the own
