gateway: no look at the ledger while a recent one found nothing; calls wait at most 120 ms for tokens

Cause: near the end of a budget every call without tokens woke the ledger's loop, and waited longer than refusals are free of charge.

--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -19,7 +19,7 @@
 	// pacePerVM is the least time between two such looks for each entry VM of the fleet.
 	pacePerVM = 25 * time.Millisecond
 	// reserveWait bounds how long a call waits for a larger reservation.
-	reserveWait = 250 * time.Millisecond
+	reserveWait = 120 * time.Millisecond
 	// floorParts is the number of parts of a budget of which all entry VMs together hold one when idle.
 	floorParts = 8
 	// maxBurst bounds what is usable between two records; burstShare is the part of a budget, in hundredths, that the bursts
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -117,12 +117,17 @@
 		return true, 0
 	}
 	a.Await(tokens)
-	if k.isHome(team) {
+	if k.isHome(team) && !k.isFutile(team, tokens) {
 		k.wakeLoop()
 	}
 	return false, k.begun
 }
 
+// isFutile reports whether a recent look at the ledger found no tokens for a call. The caller holds mu.
+func (k *ledger) isFutile(team string, tokens int64) bool {
+	return k.b.cfg.Now().Sub(k.endedAt) < lookMemory && k.team(team).Free(k.limit(team))+max(k.account(team).Idle(), 0) < tokens
+}
+
 // retry tries again after a change. It reports whether waiting is no use: the log doesn't answer, or it was looked at
 // since the call came and has no tokens.
 func (k *ledger) retry(team string, tokens int64, mark uint64) (admitted bool, changed <-chan struct{}, hopeless bool) {
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -265,7 +265,9 @@
 	given = a.Give(k.b.cfg.Now(), need, want)
 	if given < need {
 		a.Await(need - given)
-		k.wakeLoop()
+		if !k.isFutile(team, need-given) {
+			k.wakeLoop()
+		}
 	}
 	return given, k.begun
 }
@@ -273,7 +275,7 @@
 func (k *ledger) giveAgain(team string, need, want int64, mark uint64) (given int64, changed <-chan struct{}, hopeless bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.account(team).Give(k.b.cfg.Now(), need, want), k.changed, k.away || k.ended > mark
+	return k.account(team).Give(k.b.cfg.Now(), need, want), k.changed, k.away || k.ended > mark || k.isFutile(team, need)
 }
 
 func (k *ledger) giveAll(tokens map[string]int64) {
