gateway, core/overload, io/usage: an entry VM with a full link leaves the rotation and refuses what would wait

Ruled out: the processor (0.07 of 0.19 cores). Guests write their use less often in a large fleet; a starting entry VM is no home before it knows the others.

--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -19,11 +19,13 @@
 	"github.com/rotisserie/eris"
 
 	"ibiswinch/core/event"
+	"ibiswinch/core/overload"
 	"ibiswinch/core/retry"
 	"ibiswinch/gateway"
 	"ibiswinch/io/apexlog"
 	"ibiswinch/io/peer"
 	"ibiswinch/io/prometheus"
+	"ibiswinch/io/usage"
 	"ibiswinch/platform"
 )
 
@@ -97,6 +99,8 @@
 	output   *apexlog.Bounded
 	metrics  *prometheus.Metrics
 	open     atomic.Int64
+	// traffic counts the bytes of callers and servers.
+	traffic usage.Traffic
 }
 
 func (c *platformCommand) newProcess(s platform.Settings) (*platformProcess, error) {
@@ -122,10 +126,10 @@
 	}
 	p.gateway = gateway.New(gateway.Config{
 		Name: s.Name, Incarnation: incarnation, Zone: s.Zone, Log: platform.NewStore(s.Store), Decoder: platform.Decoder{},
-		Backend: platform.NewServers(time.Now), Peers: peer.NewPoolClient(platform.PeerDialer()), Address: s.Peers, Now: time.Now, Events: p.events, Metrics: p.metrics,
+		Backend: platform.NewServers(time.Now, &p.traffic), Peers: peer.NewPoolClient(platform.PeerDialer()), Address: s.Peers, Now: time.Now, Events: p.events, Metrics: p.metrics,
 		Retries:          retry.WindowConfig{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
-		LedgerPartitions: max(int(s.StoreReads/readsPerPartition), 1), Seed: uint64(time.Now().UnixNano()),
-		Pressed: p.output.Pressed,
+		LedgerPartitions: max(min(int(s.StoreReads/readsPerPartition), s.StoreParts), 1), Seed: uint64(time.Now().UnixNano()),
+		Pressed: p.output.Pressed, Limits: overload.Limits{LinkBytes: s.LinkBytes, Cores: s.Cores}, Usage: p.usage, Sent: p.traffic.Out,
 	})
 	p.events.Event(event.ProcessStarted, apexlog.Fields{"incarnation": incarnation, "zone": s.Zone})
 	return p, nil
@@ -163,7 +167,7 @@
 // serve opens the listeners.
 func (p *platformProcess) serve() (*http.Server, error) {
 	callers := &http.Server{
-		Handler:           &platform.Callers{Gateway: p.gateway, Now: time.Now, Closing: p.gateway.Draining},
+		Handler:           &platform.Callers{Gateway: p.gateway, Now: time.Now, Closing: p.gateway.Closing},
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: callerHeaderBytes,
 		ConnState: func(_ net.Conn, s http.ConnState) {
 			switch s {
@@ -197,11 +201,20 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "listen at %s", l.at)
 		}
+		if l.server == callers {
+			listener = p.traffic.Listener(listener)
+		}
 		go p.runServer(l.server, listener)
 	}
 	return callers, nil
 }
 
+// usage samples what the process has used.
+func (p *platformProcess) usage() (overload.Sample, error) {
+	cpu, err := usage.CPU()
+	return overload.Sample{At: time.Now(), In: p.traffic.In(), Out: p.traffic.Out(), CPU: cpu}, err
+}
+
 func (p *platformProcess) runServer(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		p.events.Event(event.HandlerPanicked, apexlog.Fields{"error": err.Error()})
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -109,6 +109,12 @@
 	TokensHanded         = Event{425, Info, "unused tokens handed to another entry VM"}
 )
 
+// Load: 780 to 799.
+var (
+	OverloadChanged = Event{780, Info, "overload began or ended"}
+	UsageUnknown    = Event{781, Warn, "use of resources unknown"}
+)
+
 // Peers: 800 to 899.
 var (
 	PeerUnreachable = Event{800, Debug, "peer unreachable"}
@@ -130,6 +136,7 @@
 		OrderUnknown, OrderWithdrawn, ChangeStopped, ChangeTakenBack, ChangeDone,
 		ServerCrashed, StreamResumed, StreamSuspended, RequestFailed, RequestQuarantine, MemoryFull,
 		ServerSeen, ServerGone, ServerPaused, RequestEnded, RequestRefused, AttemptFailed, LinesDropped,
+		OverloadChanged, UsageUnknown,
 		PeerUnreachable, PeerRejected, PeerGone,
 	}
 }
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -41,6 +41,7 @@
 	Quarantined       Reason = "quarantined"
 	Draining          Reason = "draining"
 	NotReady          Reason = "notReady"
+	Overloaded        Reason = "overloaded"
 	KeyRequired       Reason = "keyRequired"
 	KeyConflict       Reason = "keyConflict"
 )
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -15,7 +15,7 @@
 
 const (
 	// planInterval is how often the reservations are looked at without a request that lacks tokens.
-	planInterval = 450 * time.Millisecond
+	planInterval = 600 * time.Millisecond
 	// pacePerVM is the least time between two such looks for each entry VM of the fleet.
 	pacePerVM = 25 * time.Millisecond
 	// reserveWait bounds how long a call waits for a larger reservation.
@@ -39,6 +39,8 @@
 	reserveRetry = 400 * time.Millisecond
 	// homeTime is how long an entry VM reserves tokens of a team itself after it got none from the homes.
 	homeTime = 5 * time.Second
+	// guestPerVM is the least of that pause for each entry VM of the fleet.
+	guestPerVM = 100 * time.Millisecond
 	// guestTokens is what an entry VM that isn't a home of a team keeps of its tokens, beside a second's use;
 	// guestRefresh is the pause between its writes.
 	guestTokens  = 10_000
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -32,7 +32,7 @@
 	// minClocks is the number of other entry VMs whose time of day has to be known before it is trusted.
 	minClocks = 2
 	// digestRead is the pause between reads of the others' digests; it is shorter while their clocks aren't known.
-	digestRead      = 500 * time.Millisecond
+	digestRead      = time.Second
 	firstDigestRead = 60 * time.Millisecond
 	firstDigests    = 3 * time.Second
 )
@@ -67,6 +67,8 @@
 	// zones are the failure domains of all entry VMs that don't leave; homes are chosen among them.
 	zones map[string]string
 	homes map[string][]string
+	// read is set when the last words of the others are known; before that this entry VM is no home.
+	read bool
 	// leaving is set when this entry VM stops.
 	leaving atomic.Bool
 	// offsets are the times of day of the others against the own one.
@@ -153,6 +155,10 @@
 	for _, r := range records {
 		f.take(r, false)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.read = true
+	clear(f.homes)
 }
 
 func (f *fleetController) apply(r keyed.Record) { f.take(r, true) }
@@ -259,6 +265,9 @@
 func (f *fleetController) homesOf(team string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.read {
+		return nil
+	}
 	if homes, found := f.homes[team]; found {
 		return homes
 	}
@@ -273,6 +282,17 @@
 	return homes
 }
 
+// zoneCount is the number of failure domains that have entry VMs.
+func (f *fleetController) zoneCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	zones := map[string]bool{}
+	for _, zone := range f.zones {
+		zones[zone] = true
+	}
+	return max(len(zones), 1)
+}
+
 // leave tells the others that this entry VM stops.
 func (f *fleetController) leave() {
 	f.leaving.Store(true)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"ibiswinch/core/catalog"
 	"ibiswinch/core/event"
 	"ibiswinch/core/keyed"
+	"ibiswinch/core/overload"
 	"ibiswinch/core/placement"
 	"ibiswinch/core/refusal"
 	"ibiswinch/core/retry"
@@ -137,6 +138,11 @@
 	Retries retry.WindowConfig
 	// LedgerPartitions is the number of partitions of the ledger, the same on all entry VMs.
 	LedgerPartitions int
+	// Limits are the resources of this entry VM, Usage returns what it has used; nil to do without.
+	Limits overload.Limits
+	Usage  func() (overload.Sample, error)
+	// Sent is the number of bytes sent so far, nil to do without.
+	Sent func() int64
 	// Seed feeds the random choices.
 	Seed uint64
 	// Pressed reports whether the log is near its bounds, so that the lines of most successful requests are left out.
@@ -157,6 +163,7 @@
 	budgets  *budgetController
 	fleet    *fleetController
 	suspects *suspectController
+	load     *loadController
 }
 
 // New returns a gateway that doesn't run yet.
@@ -166,6 +173,7 @@
 	g.servers = newServerController(cfg)
 	g.suspects = newSuspectController(cfg)
 	g.fleet = newFleetController(cfg, g.suspects)
+	g.load = newLoadController(cfg)
 	g.servers.machines = g.fleet.count
 	g.budgets = newBudgetController(cfg, g.catalogs, g.fleet)
 	g.catalogs.changed = g.budgets.wakeAll
@@ -176,7 +184,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, loop := range []func(context.Context) error{
-		g.catalogs.loop, g.servers.loop, g.budgets.loop, g.fleet.loop,
+		g.catalogs.loop, g.servers.loop, g.budgets.loop, g.fleet.loop, g.load.loop,
 	} {
 		group.Go(func() error { return loop(ctx) })
 	}
@@ -189,7 +197,7 @@
 
 // Ready reports whether new connections should come here.
 func (g *Gateway) Ready() bool {
-	return !g.draining.Load() && g.catalogs.now() != nil && g.servers.known() && g.budgets.loaded()
+	return !g.draining.Load() && !g.load.overloaded() && g.catalogs.now() != nil && g.servers.known() && g.budgets.loaded()
 }
 
 // Members is the number of entry VMs that share the rules of the fleet.
@@ -201,6 +209,9 @@
 // Draining reports whether a planned stop has begun.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
 
+// Closing reports whether the connection of the next answer should be closed, so that its caller goes elsewhere.
+func (g *Gateway) Closing() bool { return g.draining.Load() || g.load.sheds() }
+
 // Serving is the number of open calls.
 func (g *Gateway) Serving() int64 { return g.serving.Load() }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -39,6 +39,12 @@
 	l.away = away
 }
 
+func (l *memoryLog) end(s keyed.Stream) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.partitions[keyed.Partition{Stream: s}])
+}
+
 func (l *memoryLog) put(s keyed.Stream, key string, value any) {
 	b, err := json.Marshal(value)
 	if err != nil {
@@ -223,6 +229,7 @@
 	log     *memoryLog
 	backend *scriptedBackend
 	gateway *Gateway
+	change  func(*Config)
 }
 
 const testHost = "a.example"
@@ -243,9 +250,12 @@
 	}
 }
 
-func newBench(t *testing.T, tries ...try) *bench {
+func newBench(t *testing.T, tries ...try) *bench { return newBenchWith(t, nil, tries...) }
+
+// newBenchWith changes the configuration of all gateways.
+func newBenchWith(t *testing.T, change func(*Config), tries ...try) *bench {
 	c := qt.New(t)
-	b := &bench{c: c, log: newMemoryLog(), backend: &scriptedBackend{tries: tries}}
+	b := &bench{c: c, log: newMemoryLog(), backend: &scriptedBackend{tries: tries}, change: change}
 	b.log.put(keyed.Operations, "config", testCatalog(1, 100_000))
 	for i, id := range []string{"s-1", "s-2", "s-3"} {
 		b.log.put(keyed.Servers, id, placement.Server{
@@ -257,11 +267,15 @@
 }
 
 func (b *bench) start(name string) *Gateway {
-	g := New(Config{
+	cfg := Config{
 		Name: name, Incarnation: name + "-1", Zone: "z", Log: b.log, Decoder: jsonDecoder{}, Backend: b.backend, Now: time.Now,
 		Events: apexlog.Discard(), Metrics: noMetrics{}, LedgerPartitions: 1,
 		Retries: retry.WindowConfig{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
-	})
+	}
+	if b.change != nil {
+		b.change(&cfg)
+	}
+	g := New(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -286,12 +300,16 @@
 }
 
 func (b *bench) serve(c *call.Call) *recorder {
+	return b.serveAt(b.gateway, c)
+}
+
+func (b *bench) serveAt(g *Gateway, c *call.Call) *recorder {
 	r := &recorder{}
 	c.ID, c.Method, c.Host, c.Target, c.Arrived = "r-1", "POST", testHost, c.Path, time.Now()
 	if c.Key == "" {
 		c.Key = "key"
 	}
-	b.gateway.Serve(context.Background(), c, r)
+	g.Serve(context.Background(), c, r)
 	return r
 }
 
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -199,19 +199,17 @@
 }
 
 // floors are the least amounts of a team's account. They are bounded by small parts of the budget, so that the
-// processes that die at once leave most of it. vms is the number of entry VMs. The caller holds mu.
-func (k *ledger) floors(team string, vms int) escrow.Floors {
+// processes that die at once leave most of it. refresh is the pace of the ledger. The caller holds mu.
+func (k *ledger) floors(team string, refresh time.Duration) escrow.Floors {
 	if !k.isHome(team) {
-		return escrow.Floors{Guest: true, Want: guestTokens, Refresh: guestRefresh}
-	}
-	limit, n := k.limit(team), int64(vms)
-	if k.b.cfg.Peers != nil {
-		n = int64(max(len(k.b.fleet.homesOf(team)), 1))
+		return escrow.Floors{Guest: true, Want: guestTokens,
+			Refresh: max(guestRefresh, time.Duration(k.b.fleet.count())*guestPerVM)}
 	}
+	limit, n := k.limit(team), int64(max(len(k.b.fleet.homesOf(team)), 1))
 	return escrow.Floors{
 		Want: limit / (floorParts * n), Burst: min(maxBurst, limit*burstShare/100/n), Rate: limit / (rateParts * n),
 		Scarce:  min(scarceTokens*n, limit/5),
-		Refresh: pace(vms),
+		Refresh: refresh,
 	}
 }
 
--- a/gateway/renew.go
+++ b/gateway/renew.go
@@ -26,9 +26,22 @@
 	}
 }
 
-// pace is the time between two writes that no call waits for. It grows with the fleet, since all write to the same
-// partitions.
-func pace(vms int) time.Duration { return max(planInterval, time.Duration(vms)*pacePerVM) }
+// pace is the time between two writes that no call waits for. It grows with the number of entry VMs that write to the
+// same partition.
+func (k *ledger) pace() time.Duration {
+	return max(planInterval, time.Duration(k.writers())*pacePerVM)
+}
+
+// writers is the expected number of entry VMs that write to the partition: one for each of its teams and failure
+// domain.
+func (k *ledger) writers() int {
+	vms := k.b.fleet.count()
+	c := k.b.catalogs.now()
+	if c == nil {
+		return vms
+	}
+	return min(vms, len(c.Teams())*k.b.fleet.zoneCount()/len(k.b.books)+1)
+}
 
 func (k *ledger) loop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -36,7 +49,7 @@
 			k.follow.fail(err)
 			pause(ctx, retryPause)
 		}
-		interval := pace(k.b.fleet.count())
+		interval := k.pace()
 		timer := time.NewTimer(interval*9/10 + rand.N(interval/5))
 		select {
 		case <-ctx.Done():
@@ -50,9 +63,9 @@
 func (k *ledger) wants() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now, vms := k.b.cfg.Now(), k.b.fleet.count()
+	now, pace := k.b.cfg.Now(), k.pace()
 	for team, a := range k.accounts {
-		if a.Wants(now, k.floors(team, vms), k.limit(team), k.team(team)) {
+		if a.Wants(now, k.floors(team, pace), k.limit(team), k.team(team)) {
 			return true
 		}
 	}
@@ -132,10 +145,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var plans []plan
-	now, vms := k.b.cfg.Now(), k.b.fleet.count()
+	now, pace := k.b.cfg.Now(), k.pace()
 	for _, team := range slices.Sorted(maps.Keys(k.accounts)) {
 		a := k.accounts[team]
-		p := a.Plan(now, k.b.fleet.timeOfDay(), k.floors(team, vms), k.limit(team), k.team(team))
+		p := a.Plan(now, k.b.fleet.timeOfDay(), k.floors(team, pace), k.limit(team), k.team(team))
 		if p.Reason == escrow.None {
 			continue
 		}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -49,10 +49,14 @@
 	x.report()
 }
 
-// admitNew refuses calls that could outlast a planned stop.
-func (g *Gateway) admitNew(context.Context, *request) *refusal.Error {
+// admitNew refuses calls that could outlast a planned stop, or wait too long at a full link.
+func (g *Gateway) admitNew(_ context.Context, r *request) *refusal.Error {
+	now := g.cfg.Now()
 	if g.closed.Load() {
-		return refusal.New(refusal.Draining, "the process stops").After(g.cfg.Now())
+		return refusal.New(refusal.Draining, "the process stops").After(now)
+	}
+	if g.load.refuses(now.Sub(r.Arrived)) {
+		return refusal.New(refusal.Overloaded, "the link of this entry VM is full").After(now.Add(overloadRetry))
 	}
 	return nil
 }
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -15,6 +15,9 @@
 const (
 	// serversWait is how long a read waits for a change of the servers' entries.
 	serversWait = time.Second
+	// serversPace is the least time between two reads of the entries. Every server writes one every heartbeat; without a
+	// pause each of them would cost a read of every entry VM. What drains or goes has to be known within 2 s.
+	serversPace = 250 * time.Millisecond
 	// returnGrace is how long after the return of the log a missing entry may still come back.
 	returnGrace = 2 * time.Second
 )
@@ -43,6 +46,7 @@
 	}
 	s.follow = follower{
 		cfg: cfg, partition: keyed.Partition{Stream: keyed.Servers}, wait: serversWait,
+		pace:  func() time.Duration { return serversPace },
 		apply: s.apply, snapshot: s.snapshot, lost: s.lost, regained: s.regained,
 	}
 	return s
--- a/io/openai/failure.go
+++ b/io/openai/failure.go
@@ -49,6 +49,7 @@
 	refusal.BillsFull:         {http.StatusServiceUnavailable, "server_error", "bills_full"},
 	refusal.Quarantined:       {http.StatusUnprocessableEntity, "invalid_request_error", "request_quarantined"},
 	refusal.Draining:          {http.StatusServiceUnavailable, "server_error", "draining"},
+	refusal.Overloaded:        {http.StatusServiceUnavailable, "server_error", "overloaded"},
 	refusal.NotReady:          {http.StatusServiceUnavailable, "server_error", "not_ready"},
 	refusal.KeyRequired:       {http.StatusBadRequest, "invalid_request_error", "idempotency_key_required"},
 	refusal.KeyConflict:       {http.StatusUnprocessableEntity, "invalid_request_error", "idempotency_key_reused"},
