--- a/core/event/event.go
+++ b/core/event/event.go
@@ -45,6 +45,7 @@
 	SnapshotNeeded  = Event{205, Warn, "log trimmed, waiting for a snapshot"}
 	AppendRejected  = Event{206, Error, "append rejected by the log"}
 	ListUnavailable = Event{207, Debug, "platform list unavailable"}
+	FarBehind       = Event{208, Info, "far behind in the log, reading the newest records"}
 )
 
 // Configuration: 300 to 399.
@@ -128,7 +129,7 @@
 		ProcessStarted, ProcessReady, ProcessDraining, ProcessStopped, DrainExpired, HandlerPanicked,
 		SettingsReloaded, SettingsRejected,
 		LogUnavailable, LogAvailable, RecordSkipped, FoldHalted, SnapshotWritten, SnapshotNeeded, AppendRejected,
-		ListUnavailable,
+		ListUnavailable, FarBehind,
 		ConfigInForce, ConfigFromPeer, ConfigRejected,
 		HolderClosed, HolderSealed, BillHeldLocally, BillsAdopted, BillsFull, BudgetExhausted, DuplicateBill,
 		ReservationChanged, ReservationRecovered, ReservationFailed, ReservationShort,
--- a/core/keyed/keyed.go
+++ b/core/keyed/keyed.go
@@ -41,7 +41,9 @@
 // Batch is what one read returned: records in order, and the offset of the next read.
 type Batch struct {
 	Records []Record
-	Next    uint64
+	// Next is the offset from which on to read, End that of the partition when it was read.
+	Next uint64
+	End  uint64
 }
 
 // ErrTrimmed is returned by a read of records that the log has dropped; the newest record of each key is still there.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -91,13 +91,29 @@
 		return err
 	}
 	f.back()
-	for _, r := range batch.Records {
-		f.apply(r)
-	}
+	f.applyNewest(batch.Records)
 	f.next = batch.Next
+	if f.next < batch.End {
+		// On a narrow link reading all that is left may take longer than it takes to be written.
+		f.started = false
+		f.cfg.Events.Event(event.FarBehind, f.fields())
+	}
 	return nil
 }
 
+// applyNewest takes the newest record of each key.
+func (f *follower) applyNewest(records []keyed.Record) {
+	newest := make(map[string]uint64, len(records))
+	for _, r := range records {
+		newest[r.Key] = r.Offset
+	}
+	for _, r := range records {
+		if newest[r.Key] == r.Offset {
+			f.apply(r)
+		}
+	}
+}
+
 func (f *follower) back() {
 	if !f.away {
 		return
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -41,6 +41,24 @@
 	b.await("version 7", func() bool { return b.gateway.Catalog().Version == 7 })
 }
 
+// TestFarBehindReadsTheNewest guards against an entry VM on a narrow link that reads old configurations one by one after
+// an outage, and comes seconds late to the newest.
+func TestFarBehindReadsTheNewest(t *testing.T) {
+	b := newBench(t)
+	b.log.setAway(true)
+	time.Sleep(20 * time.Millisecond)
+	b.log.mu.Lock()
+	b.log.away, b.log.readMost = false, 1
+	b.log.mu.Unlock()
+	for version := range int64(500) {
+		b.log.put(keyed.Operations, "config", testCatalog(version+2, 1))
+	}
+	b.await("version 501", func() bool { return b.gateway.Catalog().Version == 501 })
+	b.log.mu.Lock()
+	defer b.log.mu.Unlock()
+	b.c.Assert(b.log.reads < 300, qt.IsTrue, qt.Commentf("%d reads", b.log.reads))
+}
+
 func (b *bench) servers() int { return len(b.gateway.Dump().Servers) }
 
 // TestRemovedServerIsDropped guards against calls to a server whose entry was removed.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -27,6 +27,10 @@
 	partitions map[keyed.Partition][]keyed.Record
 	trimmed    map[keyed.Partition]uint64
 	away       bool
+	// readMost is the most records of one read, 0 for all.
+	readMost uint64
+	// reads counts those of the operator's records.
+	reads int
 }
 
 func newMemoryLog() *memoryLog {
@@ -74,6 +78,11 @@
 }
 
 func (l *memoryLog) Read(ctx context.Context, p keyed.Partition, from uint64, wait time.Duration) (keyed.Batch, error) {
+	l.mu.Lock()
+	if p.Stream == keyed.Operations {
+		l.reads++
+	}
+	l.mu.Unlock()
 	for until := time.Now().Add(wait); ; {
 		l.mu.Lock()
 		all, away, first := l.partitions[p], l.away, l.trimmed[p]
@@ -84,9 +93,13 @@
 		case from < first:
 			return keyed.Batch{}, keyed.ErrTrimmed
 		case from < uint64(len(all)):
-			return keyed.Batch{Records: all[from:], Next: uint64(len(all))}, nil
+			last := uint64(len(all))
+			if l.readMost > 0 {
+				last = min(last, from+l.readMost)
+			}
+			return keyed.Batch{Records: all[from:last], Next: last, End: uint64(len(all))}, nil
 		case ctx.Err() != nil || time.Now().After(until):
-			return keyed.Batch{Next: from}, ctx.Err()
+			return keyed.Batch{Next: from, End: from}, ctx.Err()
 		}
 		time.Sleep(time.Millisecond)
 	}
@@ -105,7 +118,8 @@
 			delete(newest, r.Key)
 		}
 	}
-	batch := keyed.Batch{Next: uint64(len(l.partitions[p]))}
+	end := uint64(len(l.partitions[p]))
+	batch := keyed.Batch{Next: end, End: end}
 	for _, r := range newest {
 		batch.Records = append(batch.Records, r)
 	}
