--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -153,7 +153,8 @@
 // stale reports whether the record in the store leaves much open if the process dies now.
 func (a *Account) stale(now time.Time, f Floors) bool {
 	behind := a.charged()-a.confirmed.Base > minReturn
-	return (a.Idle() > minReturn || behind) && now.Sub(a.sentAt) >= f.Refresh
+	age := now.Sub(a.sentAt)
+	return behind && age >= f.Refresh || a.Idle() > minReturn && age >= idleRefresh*f.Refresh
 }
 
 // Close returns everything that isn't used or held.
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -17,7 +17,7 @@
 	// planInterval is how often the reservations are looked at without a request that lacks tokens.
 	planInterval = 600 * time.Millisecond
 	// pacePerVM is the least time between two such looks for each entry VM of the fleet.
-	pacePerVM = 25 * time.Millisecond
+	pacePerVM = 50 * time.Millisecond
 	// reserveWait bounds how long a call waits for a larger reservation.
 	reserveWait = 120 * time.Millisecond
 	// floorParts is the number of parts of a budget of which all entry VMs together hold one when idle.
