--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -41,9 +41,10 @@
 	homeTime = 5 * time.Second
 	// guestPerVM is the least of that pause for each entry VM of the fleet.
 	guestPerVM = 100 * time.Millisecond
-	// guestTokens is what an entry VM that isn't a home of a team keeps of its tokens; guestRefresh is the pause between
-	// its writes. What it keeps is lost when it dies.
-	guestTokens  = 1000
+	// guestTokens is the most that an entry VM that isn't a home of a team keeps of its tokens, guestParts bounds what all
+	// of them keep to one part of a budget, since it is lost when they die; guestRefresh is the pause between their writes.
+	guestTokens  = 10_000
+	guestParts   = 50
 	guestRefresh = 2 * time.Second
 	// settleTries bounds the attempts to return tokens at a planned stop.
 	settleTries = 8
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -198,11 +198,16 @@
 		slices.Contains(k.b.fleet.homesOf(team), k.b.cfg.Name)
 }
 
+// guestKeeps is what a guest keeps of the tokens of a team.
+func (k *ledger) guestKeeps(team string) int64 {
+	return min(guestTokens, k.limit(team)/(guestParts*int64(k.b.fleet.count())))
+}
+
 // floors are the least amounts of a team's account. They are bounded by small parts of the budget, so that the
 // processes that die at once leave most of it. refresh is the pace of the ledger. The caller holds mu.
 func (k *ledger) floors(team string, refresh time.Duration) escrow.Floors {
 	if !k.isHome(team) {
-		return escrow.Floors{Guest: true, Want: guestTokens,
+		return escrow.Floors{Guest: true, Want: k.guestKeeps(team),
 			Refresh: max(guestRefresh, time.Duration(k.b.fleet.count())*guestPerVM)}
 	}
 	limit, n := k.limit(team), int64(max(len(k.b.fleet.homesOf(team)), 1))
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -24,7 +24,7 @@
 	// maxDraws is the number of entry VMs that are asked for one call.
 	maxDraws = 8
 	// drawAhead is the time for which tokens are drawn beyond what calls wait for.
-	drawAhead = 100 * time.Millisecond
+	drawAhead = 400 * time.Millisecond
 	// emptyMemory is how long a draw that brought nothing answers for further ones, unreachableMemory how long an entry
 	// VM that didn't answer is asked last.
 	emptyMemory       = 50 * time.Millisecond
@@ -228,7 +228,7 @@
 	defer k.mu.Unlock()
 	var teams []string
 	for team, a := range k.accounts {
-		if !k.isHome(team) && a.Idle() > guestTokens {
+		if !k.isHome(team) && a.Idle() > k.guestKeeps(team) {
 			teams = append(teams, team)
 		}
 	}
@@ -303,7 +303,11 @@
 	defer k.mu.Unlock()
 	a, now := k.account(team), k.b.cfg.Now()
 	left := max(a.Left(now), 0)
-	return tokens - left, max(a.Waiting(), tokens) + int64(a.RateAt(now)*drawAhead.Seconds()) - left
+	ahead := int64(a.RateAt(now) * drawAhead.Seconds())
+	if !k.isHome(team) {
+		ahead = min(ahead, k.guestKeeps(team))
+	}
+	return tokens - left, max(a.Waiting(), tokens) + ahead - left
 }
 
 func (k *ledger) noteDraw(team string, drawn int64) {
