--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -43,9 +43,8 @@
 	mu    sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{}
-	// stopping is when the last planned stop began, paused is set while the process stands still.
+	// stopping is 1 while the process is stopped and started again.
 	stopping atomic.Int64
-	paused   atomic.Bool
 }
 
 // fleet is all that runs in one soak.
