gateway: log why an attempt is the last one, and when a request arrived during a planned stop

The logs couldn't tell which calls a stopping process gave up, nor whether an attempt that was given up as silent could be followed by another. 732 now has retryDenied; 730, 731 and 732 have arrivedAfterStopMs during a planned stop.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -109,11 +109,12 @@
 			}
 			return
 		}
-		x.logAttempt(p, result)
 		if result.outcome == placement.Interrupted && !result.notRun {
 			x.g.suspects.recordCrash(x.Call, p.Server, x.attemptStarted, x.attemptEvents > 0)
 		}
-		if !x.mayRetry(ctx, result) {
+		denied := x.denyRetry(ctx, result)
+		x.logAttempt(p, result, denied)
+		if denied != retryAllowed {
 			x.endFailed(ctx, result)
 			return
 		}
@@ -275,24 +276,38 @@
 	x.attemptLast = now
 }
 
-// mayRetry reports whether the call may be sent to another server.
-func (x *exchange) mayRetry(ctx context.Context, result attemptResult) bool {
-	if ctx.Err() != nil || x.attempts >= maxAttempts {
-		return false
-	}
-	if !result.notRun && (!x.route.Repeatable() || x.runs >= x.route.MaxRuns) {
-		return false
-	}
-	if x.headSent && (x.route.Kind != call.Stream || x.lastEvent == "") {
-		return false
+// retryDenial is the reason why a call may not be sent to another server. It is logged with the failed attempt.
+type retryDenial string
+
+const (
+	retryAllowed       retryDenial = ""
+	retryCallEnded     retryDenial = "callEnded"
+	retryTooMany       retryDenial = "attempts"
+	retryNotRepeatable retryDenial = "notRepeatable"
+	retryNotResumable  retryDenial = "notResumable"
+	retryQuarantined   retryDenial = "quarantined"
+	retryNoBudget      retryDenial = "retryBudget"
+)
+
+// denyRetry returns why the call may not be sent to another server. If it may, the retry is counted.
+func (x *exchange) denyRetry(ctx context.Context, result attemptResult) retryDenial {
+	switch {
+	case ctx.Err() != nil:
+		return retryCallEnded
+	case x.attempts >= maxAttempts:
+		return retryTooMany
+	case !result.notRun && (!x.route.Repeatable() || x.runs >= x.route.MaxRuns):
+		return retryNotRepeatable
+	case x.headSent && (x.route.Kind != call.Stream || x.lastEvent == ""):
+		return retryNotResumable
 	}
 	if _, quarantined := x.g.suspects.check(x.Call); quarantined {
-		return false
+		return retryQuarantined
 	}
-	if x.arrivals == 0 {
-		return true
+	if x.arrivals > 0 && !x.g.servers.takeRetry(x.service) {
+		return retryNoBudget
 	}
-	return x.g.servers.takeRetry(x.service)
+	return retryAllowed
 }
 
 // endFailed answers the caller after the last attempt has failed.
@@ -356,10 +371,13 @@
 	return x.route.Priority
 }
 
-func (x *exchange) logAttempt(p placement.Placement, result attemptResult) {
-	fields := x.fields(x.g.cfg.Now())
+func (x *exchange) logAttempt(p placement.Placement, result attemptResult, denied retryDenial) {
+	fields := x.fields(x.g.cfg.Now(), x.g.stoppedAt.Load())
 	fields["server"], fields["attempt"], fields["outcome"], fields["notRun"] = p.Server.ID, x.attempts, string(result.outcome), result.notRun
 	fields["candidates"], fields["rank"] = p.Candidates, p.Rank
+	if denied != retryAllowed {
+		fields["retryDenied"] = string(denied)
+	}
 	fields["attemptMs"], fields["attemptEvents"] = x.g.cfg.Now().Sub(x.attemptStarted).Milliseconds(), x.attemptEvents
 	if parts := x.SharedPartIDs(); len(parts) > 0 {
 		fields["parts"] = parts
@@ -376,7 +394,7 @@
 // logEnd logs the end of the request.
 func (x *exchange) logEnd() {
 	now := x.g.cfg.Now()
-	fields := x.fields(now)
+	fields := x.fields(now, x.g.stoppedAt.Load())
 	fields["outcome"], fields["server"], fields["sends"], fields["runs"] = x.outcome, x.lastPlacement.Server.ID, x.attempts, x.runs
 	fields["tokens"], fields["held"], fields["prompt"] = x.usedTokens(), x.heldTokens, x.InputTokens
 	fields["version"], fields["events"], fields["rank"], fields["candidates"] = x.lastPlacement.Server.Version, x.events, x.lastPlacement.Rank, x.lastPlacement.Candidates
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -168,8 +168,8 @@
 type Gateway struct {
 	cfg       Config
 	openCalls atomic.Int64
-	// draining is set from the start of a planned stop.
-	draining atomic.Bool
+	// stoppedAt is the start of a planned stop, nil before.
+	stoppedAt atomic.Pointer[time.Time]
 	// closed is set when a new call might not end before the process stops.
 	closed atomic.Bool
 
@@ -216,7 +216,7 @@
 
 // Ready reports whether the load balancer should send new connections to this entry VM.
 func (g *Gateway) Ready() bool {
-	return !g.draining.Load() && !g.load.overloaded() && g.catalogs.now() != nil && g.servers.isLoaded() && g.suspects.isLoaded() && g.rollouts.isLoaded() && g.budgets.isReady()
+	return !g.Draining() && !g.load.overloaded() && g.catalogs.now() != nil && g.servers.isLoaded() && g.suspects.isLoaded() && g.rollouts.isLoaded() && g.budgets.isReady()
 }
 
 // Members is the number of live entry VMs, this one included. They share the retry limit of the fleet.
@@ -226,12 +226,12 @@
 func (g *Gateway) FreeTokens() int64 { return g.budgets.free() }
 
 // Draining reports whether a planned stop has begun.
-func (g *Gateway) Draining() bool { return g.draining.Load() }
+func (g *Gateway) Draining() bool { return g.stoppedAt.Load() != nil }
 
 // ShouldCloseConnection reports whether to close the connection after the next answer, so that the caller connects to
 // another entry VM.
 func (g *Gateway) ShouldCloseConnection() bool {
-	return g.draining.Load() || g.load.shouldCloseConnection()
+	return g.Draining() || g.load.shouldCloseConnection()
 }
 
 // OpenCalls is the number of open calls.
@@ -239,7 +239,8 @@
 
 // Drain begins a planned stop: the process is no longer ready but still serves calls that arrive.
 func (g *Gateway) Drain() {
-	g.draining.Store(true)
+	now := g.cfg.Now()
+	g.stoppedAt.Store(&now)
 	g.budgets.drain()
 	g.cfg.Events.Event(event.ProcessDraining, apexlog.Fields{"open": g.openCalls.Load()})
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -111,7 +111,7 @@
 
 // refuse sends a refusal to the caller and logs it.
 func (g *Gateway) refuse(r *request, e *refusal.Error) {
-	fields := r.fields(g.cfg.Now())
+	fields := r.fields(g.cfg.Now(), g.stoppedAt.Load())
 	fields["reason"], fields["execution"], fields["message"] = string(e.Reason), string(e.Execution), e.Message
 	if err := r.reply.Refuse(e); err != nil {
 		fields["callerError"] = err.Error()
@@ -128,8 +128,12 @@
 	return r.team.Name
 }
 
-func (r *request) fields(now time.Time) apexlog.Fields {
+// fields are the fields of all log lines about the request. stopped is the start of a planned stop, nil before.
+func (r *request) fields(now time.Time, stopped *time.Time) apexlog.Fields {
 	f := apexlog.Fields{"request": r.ID, "elapsedMs": now.Sub(r.Arrived).Milliseconds()}
+	if stopped != nil {
+		f["arrivedAfterStopMs"] = r.Arrived.Sub(*stopped).Milliseconds()
+	}
 	if r.route != nil {
 		f["route"] = r.route.Name
 	}
