gateway: a silent server is given up only for another one

What callers saw: a stream that was broken off, or 502, because a sound server was silent for 0.8 s (a first answer: 1.3 times the target latency) while no other one could take over: the retry limit was used up, no other server took calls, or the call was quarantined.

Cause: the watchdog cancelled the attempt by time alone; only then was it decided whether another one was allowed. A server's silence is no reason to end an answer.

Evidence: TestSilenceOfOnlyServerEndsStream and TestSilenceOfOnlyServerFailsRead failed before: the caller got the first of three events, or 502. TestSilentServerIsReplaced passed before and after.

Fix: the next attempt is allowed and placed first; then the silent one is cancelled. Without a successor it goes on and is checked again. The time in which the caller takes an event no longer counts as the server's silence.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -19,20 +19,12 @@
 	maxAttempts = 4
 	// maxAnswerBytes bounds an answer that is not a stream.
 	maxAnswerBytes = 8 << 20
-	// firstAnswerPercent of the target latency is how long a repeatable call waits for an answer before it is sent to
-	// another server.
-	firstAnswerPercent = 130
-	// stallTimeout is the pause between events after which a stream is resumed at another server. Callers leave after 2 s.
-	stallTimeout = 800 * time.Millisecond
 	// While the log is near its rate limit, one in logSampleInterval successful requests is logged.
 	logSampleInterval = 16
 	// rejectedRetryDelay is the Retry-After when all servers rejected the call.
 	rejectedRetryDelay = 250 * time.Millisecond
 )
 
-// errAnswerTimeout is the cause with which an attempt is cancelled when the server doesn't answer in time.
-var errAnswerTimeout = errors.New("no answer in time")
-
 // errUnsigned is the error of an answer without the signature of a server.
 var errUnsigned = errors.New("the answer isn't signed by the server")
 
@@ -84,37 +76,31 @@
 	defer cancel()
 	x.g.servers.addRequest(x.service)
 	x.choice, _ = x.g.rollouts.choose(x.service, x.ID)
+	var next *placement.Placement
 	for {
-		p, ok := x.choose()
-		if !ok {
-			x.fail(x.noServer())
-			return
+		if next == nil {
+			p, ok := x.choose(x.excluded)
+			if !ok {
+				x.fail(x.noServer())
+				return
+			}
+			next = &p
 		}
+		p := *next
 		x.lastPlacement = p
 		x.attempts++
 		x.attemptStarted, x.attemptEvents = x.g.cfg.Now(), 0
-		result := x.attempt(ctx, &p)
-		x.g.servers.release(p, result.outcome)
-		x.recordEvidence(p, result.outcome)
-		if result.arrived {
-			x.arrivals++
-		}
-		if result.arrived && !result.notRun {
-			x.runs++
-		}
+		var result attemptResult
+		result, next = x.attempt(ctx, &p)
+		x.recordAttempt(p, result)
 		if result.done {
-			x.outcome = string(result.outcome)
-			if result.outcome == placement.Answered {
-				x.g.suspects.answered(x.Call)
-			}
+			x.releaseUnused(next)
 			return
 		}
-		if result.outcome == placement.Interrupted && !result.notRun {
-			x.g.suspects.recordCrash(x.Call, p.Server, x.attemptStarted, x.attemptEvents > 0)
-		}
-		denied := x.denyRetry(ctx, result)
+		denied := x.denyRetry(ctx, result, next != nil)
 		x.logAttempt(p, result, denied)
 		if denied != retryAllowed {
+			x.releaseUnused(next)
 			x.endFailed(ctx, result)
 			return
 		}
@@ -126,12 +112,45 @@
 	}
 }
 
-// attempt sends the call to one server and forwards a successful answer.
-func (x *exchange) attempt(ctx context.Context, p *placement.Placement) attemptResult {
+// recordAttempt counts an attempt and tells the controllers what came of it.
+func (x *exchange) recordAttempt(p placement.Placement, result attemptResult) {
+	x.g.servers.release(p, result.outcome)
+	x.recordEvidence(p, result.outcome)
+	if result.arrived {
+		x.arrivals++
+	}
+	if result.arrived && !result.notRun {
+		x.runs++
+	}
+	switch {
+	case result.done:
+		x.outcome = string(result.outcome)
+		if result.outcome == placement.Answered {
+			x.g.suspects.answered(x.Call)
+		}
+	case result.outcome == placement.Interrupted && !result.notRun:
+		x.g.suspects.recordCrash(x.Call, p.Server, x.attemptStarted, x.attemptEvents > 0)
+	}
+}
+
+// releaseUnused releases the placement of an attempt that is not made; nil if there is none.
+func (x *exchange) releaseUnused(p *placement.Placement) {
+	if p != nil {
+		x.g.servers.release(*p, placement.Cancelled)
+	}
+}
+
+// attempt sends the call to one server and forwards a successful answer. If it was given up because the server was
+// silent, it returns the placement of the next attempt.
+func (x *exchange) attempt(ctx context.Context, p *placement.Placement) (attemptResult, *placement.Placement) {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := x.startWatchdog(cancel)
-	defer watchdog.Stop()
+	w := x.startWatchdog(ctx, *p, cancel)
+	result := x.exchangeOnce(ctx, attemptCtx, p, w)
+	return result, w.stop()
+}
+
+func (x *exchange) exchangeOnce(ctx, attemptCtx context.Context, p *placement.Placement, w *watchdog) attemptResult {
 	answer, err := x.g.cfg.Backend.Send(attemptCtx, Attempt{
 		Call: x.Call, Server: p.Server, Team: x.teamName(), Deadline: x.deadline, LastEventID: x.lastEvent, Priority: x.priority(),
 	})
@@ -149,25 +168,13 @@
 	}
 	if answer.IsEventStream() && answer.Signed() && isSuccess(answer.Status()) {
 		defer answer.Close()
-		return x.relayEvents(ctx, attemptCtx, p, answer, watchdog)
+		return x.relayEvents(ctx, attemptCtx, p, answer, w)
 	}
 	return x.relayWhole(ctx, attemptCtx, answer)
 }
 
 func isSuccess(status int) bool { return status/100 == 2 }
 
-// startWatchdog cancels the attempt if the server doesn't answer in time and the call may be sent to another one.
-func (x *exchange) startWatchdog(cancel context.CancelCauseFunc) *time.Timer {
-	wait := time.Until(x.deadline) + time.Hour
-	if x.route.Repeatable() && x.runs+1 < x.route.MaxRuns {
-		wait = x.route.TargetLatency * firstAnswerPercent / 100
-		if x.headSent {
-			wait = stallTimeout
-		}
-	}
-	return time.AfterFunc(wait, func() { cancel(errAnswerTimeout) })
-}
-
 // resultOfError returns the result of an attempt that failed with err.
 func (x *exchange) resultOfError(ctx, attemptCtx context.Context, err error) attemptResult {
 	result := attemptResult{outcome: placement.Interrupted, arrived: true, err: err}
@@ -217,9 +224,8 @@
 
 // relayEvents forwards the events of a stream as they arrive.
 func (x *exchange) relayEvents(
-	ctx, attemptCtx context.Context, p *placement.Placement, answer Answer, watchdog *time.Timer,
+	ctx, attemptCtx context.Context, p *placement.Placement, answer Answer, w *watchdog,
 ) attemptResult {
-	resumable := x.route.Repeatable() && x.runs+1 < x.route.MaxRuns
 	first := true
 	for {
 		e, err := answer.Next()
@@ -233,9 +239,7 @@
 		if err != nil {
 			return x.resultOfError(ctx, attemptCtx, err)
 		}
-		if resumable {
-			watchdog.Reset(stallTimeout)
-		}
+		w.received()
 		if first {
 			first = false
 			x.g.servers.firstEvent(p)
@@ -246,6 +250,7 @@
 		}
 		x.recordEventTime()
 		x.lastEvent = e.ID
+		w.forwarded(e)
 		x.events++
 		x.attemptEvents++
 	}
@@ -289,24 +294,39 @@
 	retryNoBudget      retryDenial = "retryBudget"
 )
 
-// denyRetry returns why the call may not be sent to another server. If it may, the retry is counted.
-func (x *exchange) denyRetry(ctx context.Context, result attemptResult) retryDenial {
+// denyRetry returns why the call may not be sent to another server. If it may, the retry is counted, unless that was
+// done when the next attempt was placed.
+func (x *exchange) denyRetry(ctx context.Context, result attemptResult, placed bool) retryDenial {
+	if denied := x.denyAttempt(ctx); denied != retryAllowed {
+		return denied
+	}
+	switch {
+	case !result.notRun && (!x.route.Repeatable() || x.runs >= x.route.MaxRuns):
+		return retryNotRepeatable
+	case x.headSent && !x.isResumable(x.lastEvent):
+		return retryNotResumable
+	case !placed && x.arrivals > 0 && !x.g.servers.takeRetry(x.service):
+		return retryNoBudget
+	}
+	return retryAllowed
+}
+
+// isResumable reports whether another server can go on with the stream after the event with the given id.
+func (x *exchange) isResumable(lastEvent string) bool {
+	return x.route.Kind == call.Stream && lastEvent != ""
+}
+
+// denyAttempt returns why the call may not have another attempt, whatever came of the last one.
+func (x *exchange) denyAttempt(ctx context.Context) retryDenial {
 	switch {
 	case ctx.Err() != nil:
 		return retryCallEnded
 	case x.attempts >= maxAttempts:
 		return retryTooMany
-	case !result.notRun && (!x.route.Repeatable() || x.runs >= x.route.MaxRuns):
-		return retryNotRepeatable
-	case x.headSent && (x.route.Kind != call.Stream || x.lastEvent == ""):
-		return retryNotResumable
 	}
 	if _, quarantined := x.g.suspects.check(x.Call); quarantined {
 		return retryQuarantined
 	}
-	if x.arrivals > 0 && !x.g.servers.takeRetry(x.service) {
-		return retryNoBudget
-	}
 	return retryAllowed
 }
 
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -9,8 +9,9 @@
 )
 
 // choose places the call at a server of its version. A call for the new version goes to the old one if there is no room.
-func (x *exchange) choose() (placement.Placement, bool) {
-	r := x.placementRequest()
+// Servers in excluded are left out.
+func (x *exchange) choose(excluded []string) (placement.Placement, bool) {
+	r := x.placementRequest(excluded)
 	switch {
 	case x.choice.Change == "":
 		return x.g.servers.choose(r)
@@ -31,8 +32,8 @@
 }
 
 // placementRequest describes the call to the table of servers.
-func (x *exchange) placementRequest() placement.Request {
-	r := placement.Request{Service: x.service, Tokens: x.InputTokens, TargetLatency: x.route.TargetLatency, Excluded: x.excluded}
+func (x *exchange) placementRequest(excluded []string) placement.Request {
+	r := placement.Request{Service: x.service, Tokens: x.InputTokens, TargetLatency: x.route.TargetLatency, Excluded: excluded}
 	if x.route.Sticky {
 		r.PrefixID = x.PrefixID()
 		for _, p := range x.SharedParts() {
--- /dev/null
+++ b/gateway/silent_test.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// slowAnswer pauses before its body and before one of its events, as long as its attempt isn't cancelled.
+type slowAnswer struct {
+	fakeAnswer
+	ctx        context.Context
+	pause      time.Duration
+	pauseEvent int
+}
+
+func (a *slowAnswer) sleep() error {
+	select {
+	case <-time.After(a.pause):
+		return nil
+	case <-a.ctx.Done():
+		return a.ctx.Err()
+	}
+}
+
+func (a *slowAnswer) Body(int64) ([]byte, error) {
+	if err := a.sleep(); err != nil {
+		return nil, err
+	}
+	return []byte(a.body), nil
+}
+
+func (a *slowAnswer) Next() (Event, error) {
+	if a.next == a.pauseEvent {
+		if err := a.sleep(); err != nil {
+			return Event{}, err
+		}
+	}
+	return a.fakeAnswer.Next()
+}
+
+// silentBackend has servers that fall silent for a time: all of them, or the first one that is asked.
+type silentBackend struct {
+	mu        sync.Mutex
+	pause     time.Duration
+	onlyFirst bool
+	attempts  []Attempt
+}
+
+func (b *silentBackend) Send(ctx context.Context, a Attempt) (Answer, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.attempts = append(b.attempts, a)
+	answer := &slowAnswer{fakeAnswer: fakeAnswer{status: 200}, ctx: ctx}
+	if !b.onlyFirst || len(b.attempts) == 1 {
+		answer.pause, answer.pauseEvent = b.pause, 1
+	}
+	if a.Call.Path == "/read/1" {
+		answer.body = "read"
+		return answer, nil
+	}
+	answer.stream, answer.events = true, events("1", "2", "3")
+	for _, e := range answer.events {
+		if e.ID <= a.LastEventID {
+			answer.next++
+		}
+	}
+	return answer, nil
+}
+
+// newSilentFixture returns a gateway with the given number of servers and no retries beyond extra.
+func newSilentFixture(t *testing.T, b *silentBackend, extra, servers int) *fixture {
+	f := newFixtureWith(t, func(cfg *Config) {
+		cfg.Backend = b
+		cfg.Retries.Ratio, cfg.Retries.Extra = 0, extra
+	})
+	for _, id := range []string{"s-1", "s-2", "s-3"}[servers:] {
+		f.removeServer(id)
+	}
+	return f
+}
+
+func (f *fixture) removeServer(id string) {
+	f.gateway.servers.mu.Lock()
+	defer f.gateway.servers.mu.Unlock()
+	f.gateway.servers.table.RemoveServer(id)
+}
+
+// TestSilenceOfOnlyServerEndsStream guards against streams that are broken off because a sound server is silent for a
+// second while no other one may take over.
+func TestSilenceOfOnlyServerEndsStream(t *testing.T) {
+	for name, f := range map[string]*fixture{
+		"no retries left":        newSilentFixture(t, &silentBackend{pause: stallTimeout + 300*time.Millisecond}, 0, 3),
+		"no other server":        newSilentFixture(t, &silentBackend{pause: stallTimeout + 300*time.Millisecond}, 100, 1),
+		"all servers are silent": newSilentFixture(t, &silentBackend{pause: stallTimeout + 300*time.Millisecond}, 100, 3),
+	} {
+		r := f.post("/chat/1")
+		f.c.Check(r.body, qt.Equals, "id:1\n\nid:2\n\nid:3\n\n", qt.Commentf(name))
+		f.c.Check(r.finished, qt.IsTrue, qt.Commentf(name))
+	}
+}
+
+// TestSilenceOfOnlyServerFailsRead guards against failures of calls whose only server answers late, but in time.
+func TestSilenceOfOnlyServerFailsRead(t *testing.T) {
+	for name, f := range map[string]*fixture{
+		"no retries left": newSilentFixture(t, &silentBackend{pause: 1500 * time.Millisecond}, 0, 3),
+		"no other server": newSilentFixture(t, &silentBackend{pause: 1500 * time.Millisecond}, 100, 1),
+	} {
+		r := f.post("/read/1")
+		f.c.Check(r.body, qt.Equals, "read", qt.Commentf(name))
+	}
+}
+
+// TestSilentServerIsReplaced guards against callers that wait for a silent server although another one may take over.
+func TestSilentServerIsReplaced(t *testing.T) {
+	b := &silentBackend{pause: 10 * time.Second, onlyFirst: true}
+	f := newSilentFixture(t, b, 100, 3)
+	start := time.Now()
+	r := f.post("/chat/1")
+	f.c.Assert(r.body, qt.Equals, "id:1\n\nid:2\n\nid:3\n\n")
+	f.c.Assert(time.Since(start) < 2*stallTimeout, qt.IsTrue)
+	f.c.Assert(b.attempts, qt.HasLen, 2)
+	f.c.Assert(b.attempts[0].Server.ID == b.attempts[1].Server.ID, qt.IsFalse)
+	f.c.Assert(b.attempts[1].LastEventID, qt.Equals, "1")
+}
