cmd/ibiswinch, gateway: a stopping process answers what it has taken before it exits

What callers saw: requests that a stopping entry VM had taken ended with a closed connection. A request that was read while the process returned its tokens, up to 0.35 s later, could be cut off as well; and new calls were refused only once a loop that polls had seen the time pass, which a busy processor delays.

Cause: giving up meant exiting. Nothing ended the open calls, and the listener was open until the exit.

Evidence: TestStopEndsRequestWithoutAnswer and TestStoppedProcessTakesConnections failed before: no answer when the process would have exited, and a connection accepted after the drain. Both pass now, as does TestStopLeavesOpenCallsUnanswered.

Fix: each call is refused by the time at which it arrives. When the process gives up, the listener is closed, the open calls are cancelled and answered (502, or 503 if they are proven not to have run), and the process waits for these answers before it returns its tokens. The reserve for that is a sixth of the grace period, 0.9 s at most, instead of 0.7 s, so that calls are never given up earlier than in its last sixth.

--- /dev/null
+++ b/cmd/ibiswinch/drain.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"ibiswinch/core/event"
+	"ibiswinch/io/apexlog"
+)
+
+const (
+	// drainDelay is how long a stopping process accepts new calls, until the load balancer has seen that it isn't
+	// ready. Calls that came later could outlast the grace period.
+	drainDelay = 2600 * time.Millisecond
+	// closeIdleDelay is the time from the start of a stop until idle connections are closed.
+	closeIdleDelay = 3500 * time.Millisecond
+	// drainPollInterval is how often a stopping process checks whether its connections are closed.
+	drainPollInterval = 20 * time.Millisecond
+	// 1/exitReserveDivisor of the grace period, maxExitReserve at most, is reserved to exit: a quarter to answer the calls
+	// that are still open, half to return unused tokens, and the rest to end.
+	exitReserveDivisor = 6
+	maxExitReserve     = 900 * time.Millisecond
+)
+
+// drainTimes are the times of a planned stop.
+type drainTimes struct {
+	// lastCallAt is when new calls are refused, closeIdleAt when idle connections are closed. At giveUpAt the calls that are
+	// still open are ended, which must be done by answeredAt. At returnedAt the unused tokens must be returned.
+	lastCallAt, closeIdleAt, giveUpAt, answeredAt, returnedAt time.Time
+}
+
+func newDrainTimes(start time.Time, gracePeriod time.Duration) drainTimes {
+	reserve := min(gracePeriod/exitReserveDivisor, maxExitReserve)
+	giveUpAt := start.Add(gracePeriod - reserve)
+	return drainTimes{
+		lastCallAt: start.Add(drainDelay), closeIdleAt: start.Add(closeIdleDelay), giveUpAt: giveUpAt,
+		answeredAt: giveUpAt.Add(reserve / 4), returnedAt: giveUpAt.Add(reserve * 3 / 4),
+	}
+}
+
+// drain keeps serving until the callers have closed their connections or the grace period nears its end, answers what is
+// still open, and returns the unused reservations. Afterwards the process must exit.
+func (p *platformProcess) drain(callerServer *http.Server) {
+	start := time.Now()
+	p.mu.Lock()
+	times := newDrainTimes(start, p.settings.GracePeriod)
+	p.mu.Unlock()
+	p.gateway.Drain(times.lastCallAt)
+	p.awaitClosedConnections(callerServer, times)
+	p.endOpenCalls(callerServer, times.answeredAt)
+	ctx, cancel := context.WithDeadline(context.Background(), times.returnedAt)
+	defer cancel()
+	if err := p.gateway.ReturnReservations(ctx); err != nil {
+		p.events.Event(event.ReservationFailed, apexlog.Fields{"error": err.Error()})
+	}
+}
+
+// awaitClosedConnections serves until there are no connections or open calls have to be given up.
+func (p *platformProcess) awaitClosedConnections(callerServer *http.Server, times drainTimes) {
+	closingIdle := false
+	for now := time.Now(); now.Before(times.giveUpAt); now = time.Now() {
+		if now.After(times.lastCallAt) && p.openConnections.Load() == 0 {
+			return
+		}
+		if !closingIdle && now.After(times.closeIdleAt) {
+			closingIdle = true
+			callerServer.SetKeepAlivesEnabled(false)
+		}
+		time.Sleep(drainPollInterval)
+	}
+}
+
+// endOpenCalls closes the listener and answers all calls that are still open, so that no call is read that the exit would
+// cut off. It waits until the answers are sent, until the given time at most.
+func (p *platformProcess) endOpenCalls(callerServer *http.Server, until time.Time) {
+	if n := p.gateway.OpenCalls(); n > 0 {
+		p.events.Event(event.DrainTimedOut, apexlog.Fields{"open": n})
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	go p.runShutdown(ctx, callerServer)
+	p.gateway.GiveUp()
+	for p.openConnections.Load() > 0 && ctx.Err() == nil {
+		time.Sleep(drainPollInterval / 4)
+	}
+}
+
+// runShutdown closes the listener at once and each connection when its answer is sent, until ctx ends.
+func (p *platformProcess) runShutdown(ctx context.Context, callerServer *http.Server) {
+	if err := callerServer.Shutdown(ctx); err != nil && !eris.Is(err, context.DeadlineExceeded) {
+		p.events.Event(event.HandlerPanicked, apexlog.Fields{"error": err.Error()})
+	}
+}
--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -55,15 +55,6 @@
 	softMemoryPercent = 60
 	// gcPercent is the growth of the heap between two garbage collections, in percent.
 	gcPercent = 200
-	// drainDelay is how long a stopping process accepts new calls, until the load balancer has seen that it isn't
-	// ready. Calls that came later could outlast the grace period.
-	drainDelay = 2600 * time.Millisecond
-	// closeIdleDelay is the time from the start of a stop until idle connections are closed.
-	closeIdleDelay = 3500 * time.Millisecond
-	// settleReserve is the part of the grace period that is reserved to return unused tokens and exit.
-	settleReserve = 700 * time.Millisecond
-	// drainPollInterval is how often a stopping process checks whether its connections are closed.
-	drainPollInterval = 20 * time.Millisecond
 	// watchInterval is the time between two checks of the settings file and the dropped log lines.
 	watchInterval = time.Second
 	// maxCallerHeaderBytes bounds the headers of a caller beyond the limits of the configuration.
@@ -75,10 +66,7 @@
 
 // Run serves until SIGTERM, then drains.
 func (c *platformCommand) Run() error {
-	if c.Settings == "" {
-		c.Settings = os.Getenv(platform.SettingsVariable)
-	}
-	settings, err := platform.LoadSettings(c.Settings)
+	settings, err := c.loadSettings()
 	if err != nil {
 		return err
 	}
@@ -91,6 +79,13 @@
 	return p.run()
 }
 
+func (c *platformCommand) loadSettings() (platform.Settings, error) {
+	if c.Settings == "" {
+		c.Settings = os.Getenv(platform.SettingsVariable)
+	}
+	return platform.LoadSettings(c.Settings)
+}
+
 // platformProcess is the process of one entry VM on the users' platform.
 type platformProcess struct {
 	settingsPath string
@@ -261,35 +256,3 @@
 	p.mu.Unlock()
 	p.events.Event(event.SettingsReloaded, apexlog.Fields{"changed": changed})
 }
-
-// drain keeps serving until the callers have closed their connections or the grace period nears its end, and returns
-// the unused reservations.
-func (p *platformProcess) drain(callerServer *http.Server) {
-	start := time.Now()
-	p.mu.Lock()
-	deadline := start.Add(p.settings.GracePeriod - settleReserve)
-	p.mu.Unlock()
-	p.gateway.Drain()
-	closingIdle := false
-	for now := start; now.Before(deadline); now = time.Now() {
-		if now.After(start.Add(drainDelay)) {
-			p.gateway.Close()
-			if p.openConnections.Load() == 0 {
-				break
-			}
-		}
-		if !closingIdle && now.After(start.Add(closeIdleDelay)) {
-			closingIdle = true
-			callerServer.SetKeepAlivesEnabled(false)
-		}
-		time.Sleep(drainPollInterval)
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(settleReserve/2))
-	defer cancel()
-	if n := p.gateway.OpenCalls(); n > 0 {
-		p.events.Event(event.DrainTimedOut, apexlog.Fields{"open": n})
-	}
-	if err := p.gateway.ReturnReservations(ctx); err != nil {
-		p.events.Event(event.ReservationFailed, apexlog.Fields{"error": err.Error()})
-	}
-}
--- /dev/null
+++ b/cmd/ibiswinch/platform_test.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"ibiswinch/standin/keyedlog"
+)
+
+// platformFixture is an entry VM on the users' platform with the stand-in of its store and one backend server, in the
+// process of the test.
+type platformFixture struct {
+	c       *qt.C
+	store   *keyedlog.Server
+	process *platformProcess
+	callers *http.Server
+	front   string
+	// hang is closed to let the backend server answer; began gets the id of each request that reaches it.
+	hang  chan struct{}
+	began chan string
+}
+
+const testGracePeriod = 4 * time.Second
+
+func startPlatform(t *testing.T, ip string) *platformFixture {
+	c := qt.New(t)
+	f := &platformFixture{c: c, store: keyedlog.New(), front: ip + ":8740", hang: make(chan struct{}), began: make(chan string, 100)}
+	store := httptest.NewServer(f.store)
+	c.Cleanup(store.Close)
+	backend := httptest.NewServer(http.HandlerFunc(f.serveBackend))
+	c.Cleanup(backend.Close)
+	c.Cleanup(func() { close(f.hang) })
+	f.publish(backend.Listener.Addr().String())
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	c.Assert(os.WriteFile(path, []byte(platformSettings(ip, store.Listener.Addr().String())), 0o600), qt.IsNil)
+	f.start(path)
+	return f
+}
+
+func platformSettings(ip, store string) string {
+	return fmt.Sprintf(`node = "front-1"
+zone = "z"
+ip_address = %q
+internal_ports = [7200, 7215]
+[listen_addresses]
+front = "%s:8740"
+ready = "%s:8749"
+[limits]
+memory_mb = 284
+cpu_share = 1.0
+link_mbps = 1000
+[bounds]
+grace_period_s = %g
+retry_budget_ratio = 0.2
+budget_extra_retries = 50
+budget_window_s = 10
+[platform]
+address = %q
+reads_per_s = 2000
+parts = 12
+`, ip, ip, ip, testGracePeriod.Seconds(), store)
+}
+
+func (f *platformFixture) publish(backend string) {
+	config, err := json.Marshal(map[string]any{
+		"version": 3,
+		"routes": []map[string]any{{
+			"name": "order", "host": "a.example", "path_prefix": "/order/", "kind": "unsafe", "timeout_ms": 20000,
+			"target_latency_ms": 500, "service": "s", "attempts": 1,
+		}},
+		"services": []map[string]any{{"name": "s", "health_path": "/health", "connection_limit": 100}},
+	})
+	f.c.Assert(err, qt.IsNil)
+	f.store.Append("keyed.op", "config", config)
+	server, err := json.Marshal(map[string]any{
+		"service": "s", "address": backend, "zone": "z", "version": "v1", "slots": 8, "state": "ready", "sequence": 1, "born": 1,
+	})
+	f.c.Assert(err, qt.IsNil)
+	f.store.Append("keyed.servers", "i-1", server)
+}
+
+func (f *platformFixture) serveBackend(w http.ResponseWriter, r *http.Request) {
+	f.began <- r.Header.Get("Request-Id")
+	select {
+	case <-f.hang:
+	case <-r.Context().Done():
+		return
+	}
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Response-Seal", "seal")
+	_, _ = w.Write([]byte("done"))
+}
+
+func (f *platformFixture) start(settingsPath string) {
+	command := &platformCommand{Settings: settingsPath, LogLevel: "error"}
+	settings, err := command.loadSettings()
+	f.c.Assert(err, qt.IsNil)
+	f.process, err = command.newProcess(settings)
+	f.c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.process.gateway.Run(ctx) }()
+	f.callers, err = f.process.startServers()
+	f.c.Assert(err, qt.IsNil)
+	f.c.Cleanup(func() {
+		cancel()
+		<-done
+		_ = f.callers.Close()
+	})
+	for deadline := time.Now().Add(10 * time.Second); !f.process.gateway.Ready(); time.Sleep(5 * time.Millisecond) {
+		f.c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("not ready in 10 s"))
+	}
+}
+
+// send writes a request on a new connection and returns the status line of the answer.
+func (f *platformFixture) send(id string) (string, error) {
+	conn, err := net.Dial("tcp4", f.front)
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
+	if _, err = fmt.Fprintf(conn, "POST /order/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\nDeadline-Milliseconds: 20000\r\nContent-Length: 2\r\n\r\nok", id); err != nil {
+		return "", err
+	}
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	return strings.TrimSpace(line), err
+}
+
+// TestStopEndsRequestWithoutAnswer guards against a planned stop that closes the connection of a request that it had
+// taken and given up.
+func TestStopEndsRequestWithoutAnswer(t *testing.T) {
+	f := startPlatform(t, "127.201.0.1")
+	answer := make(chan string, 1)
+	go func() {
+		line, err := f.send("order-1")
+		answer <- fmt.Sprint(line, err)
+	}()
+	<-f.began
+	start := time.Now()
+	f.process.drain(f.callers)
+	f.c.Check(time.Since(start) < testGracePeriod, qt.IsTrue)
+	select {
+	case line := <-answer:
+		f.c.Assert(line, qt.Equals, "HTTP/1.1 502 Bad Gateway<nil>")
+	case <-time.After(100 * time.Millisecond):
+		f.c.Fatal("the process would exit now, with the request open")
+	}
+}
+
+// TestStoppedProcessTakesConnections guards against requests that are read just before the process exits.
+func TestStoppedProcessTakesConnections(t *testing.T) {
+	f := startPlatform(t, "127.201.0.2")
+	f.process.drain(f.callers)
+	_, err := net.DialTimeout("tcp4", f.front, time.Second)
+	f.c.Assert(err, qt.ErrorMatches, ".*connection refused")
+}
--- a/gateway/budgets_test.go
+++ b/gateway/budgets_test.go
@@ -72,7 +72,7 @@
 func TestPlannedStopReturnsReservation(t *testing.T) {
 	f := newFixture(t, answered("ok"))
 	f.post("/order/1")
-	f.gateway.Drain()
+	f.gateway.Drain(time.Now().Add(time.Hour))
 	f.c.Assert(f.gateway.Ready(), qt.IsFalse)
 	f.c.Assert(f.gateway.ReturnReservations(context.Background()), qt.IsNil)
 	d := f.gateway.Dump().Budgets[0]
@@ -92,9 +92,9 @@
 // TestClosedGatewayRefusesCalls guards against accepting a call so late in a planned stop that it can't complete.
 func TestClosedGatewayRefusesCalls(t *testing.T) {
 	f := newFixture(t, answered("late"))
-	f.gateway.Drain()
+	f.gateway.Drain(time.Now().Add(time.Hour))
 	f.c.Assert(f.post("/order/1").body, qt.Equals, "late")
-	f.gateway.Close()
+	f.gateway.Drain(time.Now())
 	r := f.post("/order/2")
 	f.c.Assert(r.refused.Reason, qt.Equals, refusal.Draining)
 	f.c.Assert(r.refused.Execution, qt.Equals, refusal.NotRun)
--- a/gateway/draw_test.go
+++ b/gateway/draw_test.go
@@ -148,7 +148,7 @@
 func TestStopWithoutTheLogHandsTokensOver(t *testing.T) {
 	p := newPeerFixture(t)
 	p.log.setDown(true)
-	p.primary.Drain()
+	p.primary.Drain(time.Now())
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	p.c.Assert(p.primary.ReturnReservations(ctx), qt.IsNotNil)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -337,6 +337,10 @@
 		x.sendAnswer(result.answer, result.body)
 		return
 	}
+	if errors.Is(context.Cause(ctx), errStopping) {
+		x.fail(refuseStopping(x.g.cfg.Now()))
+		return
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		x.outcome = "callerGone"
 		if x.headSent {
@@ -364,7 +368,7 @@
 	}
 	if x.runs > 0 {
 		e.Execution = refusal.Unknown
-		if e.Reason != refusal.DeadlinePassed {
+		if e.Reason != refusal.DeadlinePassed && e.Reason != refusal.Draining {
 			e.Reason = refusal.ServerFailed
 		}
 	}
@@ -392,7 +396,7 @@
 }
 
 func (x *exchange) logAttempt(p placement.Placement, result attemptResult, denied retryDenial) {
-	fields := x.fields(x.g.cfg.Now(), x.g.stoppedAt.Load())
+	fields := x.fields(x.g.cfg.Now(), x.g.stop.Load())
 	fields["server"], fields["attempt"], fields["outcome"], fields["notRun"] = p.Server.ID, x.attempts, string(result.outcome), result.notRun
 	fields["candidates"], fields["rank"] = p.Candidates, p.Rank
 	if denied != retryAllowed {
@@ -414,7 +418,7 @@
 // logEnd logs the end of the request.
 func (x *exchange) logEnd() {
 	now := x.g.cfg.Now()
-	fields := x.fields(now, x.g.stoppedAt.Load())
+	fields := x.fields(now, x.g.stop.Load())
 	fields["outcome"], fields["server"], fields["sends"], fields["runs"] = x.outcome, x.lastPlacement.Server.ID, x.attempts, x.runs
 	fields["tokens"], fields["held"], fields["prompt"] = x.usedTokens(), x.heldTokens, x.InputTokens
 	fields["version"], fields["events"], fields["rank"], fields["candidates"] = x.lastPlacement.Server.Version, x.events, x.lastPlacement.Rank, x.lastPlacement.Candidates
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -168,10 +168,11 @@
 type Gateway struct {
 	cfg       Config
 	openCalls atomic.Int64
-	// stoppedAt is the start of a planned stop, nil before.
-	stoppedAt atomic.Pointer[time.Time]
-	// closed is set when a new call might not end before the process stops.
-	closed atomic.Bool
+	// stop is the planned stop, nil before it begins.
+	stop atomic.Pointer[plannedStop]
+	// stopping ends when the open calls are given up, by giveUp.
+	stopping context.Context
+	giveUp   context.CancelFunc
 
 	catalogs *catalogController
 	servers  *serverController
@@ -182,9 +183,17 @@
 	rollouts *rolloutController
 }
 
+// plannedStop holds the times of a planned stop.
+type plannedStop struct {
+	startedAt time.Time
+	// lastCallAt is when new calls are refused, as they might not end before the process exits.
+	lastCallAt time.Time
+}
+
 // New returns a gateway that isn't running yet.
 func New(cfg Config) *Gateway {
 	g := &Gateway{cfg: cfg}
+	g.stopping, g.giveUp = context.WithCancel(context.Background())
 	g.catalogs = newCatalogController(cfg)
 	g.fleet = newFleetController(cfg)
 	g.servers = newServerController(cfg, g.fleet)
@@ -226,7 +235,7 @@
 func (g *Gateway) FreeTokens() int64 { return g.budgets.free() }
 
 // Draining reports whether a planned stop has begun.
-func (g *Gateway) Draining() bool { return g.stoppedAt.Load() != nil }
+func (g *Gateway) Draining() bool { return g.stop.Load() != nil }
 
 // ShouldCloseConnection reports whether to close the connection after the next answer, so that the caller connects to
 // another entry VM.
@@ -237,16 +246,16 @@
 // OpenCalls is the number of open calls.
 func (g *Gateway) OpenCalls() int64 { return g.openCalls.Load() }
 
-// Drain begins a planned stop: the process is no longer ready but still serves calls that arrive.
-func (g *Gateway) Drain() {
-	now := g.cfg.Now()
-	g.stoppedAt.Store(&now)
+// Drain begins a planned stop: the process is no longer ready but still serves calls that arrive before lastCallAt.
+func (g *Gateway) Drain(lastCallAt time.Time) {
+	g.stop.Store(&plannedStop{startedAt: g.cfg.Now(), lastCallAt: lastCallAt})
 	g.budgets.drain()
 	g.cfg.Events.Event(event.ProcessDraining, apexlog.Fields{"open": g.openCalls.Load()})
 }
 
-// Close refuses new calls from now on. Open calls continue.
-func (g *Gateway) Close() { g.closed.Store(true) }
+// GiveUp ends the open calls of a process that is about to exit. Their callers are answered, or learn that their streams
+// are incomplete.
+func (g *Gateway) GiveUp() { g.giveUp() }
 
 // ReturnReservations returns the unused tokens of all reservations.
 func (g *Gateway) ReturnReservations(ctx context.Context) error {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"ibiswinch/core/call"
@@ -37,6 +38,9 @@
 func (g *Gateway) Serve(ctx context.Context, c *call.Call, reply Reply) {
 	g.openCalls.Add(1)
 	defer g.openCalls.Add(-1)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(g.stopping, func() { cancel(errStopping) })()
 	r := &request{Call: c, reply: reply, catalog: g.catalogs.now()}
 	for _, filter := range []func(context.Context, *request) *refusal.Error{g.checkLoad, g.findRoute, g.findTeam, g.checkQuarantine, g.reserveTokens} {
 		if refused := filter(ctx, r); refused != nil {
@@ -50,11 +54,18 @@
 	x.logEnd()
 }
 
+// errStopping is the cause with which a call is cancelled when the process is about to exit.
+var errStopping = errors.New("the process stops")
+
+func refuseStopping(now time.Time) *refusal.Error {
+	return refusal.New(refusal.Draining, "the process stops").WithRetryAt(now)
+}
+
 // checkLoad refuses calls that might not end before a planned stop or that would wait too long for a full link.
 func (g *Gateway) checkLoad(_ context.Context, r *request) *refusal.Error {
 	now := g.cfg.Now()
-	if g.closed.Load() {
-		return refusal.New(refusal.Draining, "the process stops").WithRetryAt(now)
+	if stop := g.stop.Load(); stop != nil && !now.Before(stop.lastCallAt) {
+		return refuseStopping(now)
 	}
 	if g.load.shouldRefuse(now.Sub(r.Arrived)) {
 		return refusal.New(refusal.Overloaded, "the link of this entry VM is full").WithRetryAt(now.Add(overloadRetryDelay))
@@ -103,6 +114,9 @@
 func (g *Gateway) reserveTokens(ctx context.Context, r *request) *refusal.Error {
 	until := r.Arrived.Add(r.route.TargetLatency * reserveWaitPercent / 100)
 	if refused := g.budgets.admit(ctx, r.ID, r.team, r.MaxTokens(), until); refused != nil {
+		if errors.Is(context.Cause(ctx), errStopping) {
+			return refuseStopping(g.cfg.Now())
+		}
 		return refused
 	}
 	r.heldTokens = r.MaxTokens()
@@ -111,7 +125,7 @@
 
 // refuse sends a refusal to the caller and logs it.
 func (g *Gateway) refuse(r *request, e *refusal.Error) {
-	fields := r.fields(g.cfg.Now(), g.stoppedAt.Load())
+	fields := r.fields(g.cfg.Now(), g.stop.Load())
 	fields["reason"], fields["execution"], fields["message"] = string(e.Reason), string(e.Execution), e.Message
 	if err := r.reply.Refuse(e); err != nil {
 		fields["callerError"] = err.Error()
@@ -128,11 +142,11 @@
 	return r.team.Name
 }
 
-// fields are the fields of all log lines about the request. stopped is the start of a planned stop, nil before.
-func (r *request) fields(now time.Time, stopped *time.Time) apexlog.Fields {
+// fields are the fields of all log lines about the request. stop is the planned stop, nil before it begins.
+func (r *request) fields(now time.Time, stop *plannedStop) apexlog.Fields {
 	f := apexlog.Fields{"request": r.ID, "elapsedMs": now.Sub(r.Arrived).Milliseconds()}
-	if stopped != nil {
-		f["arrivedAfterStopMs"] = r.Arrived.Sub(*stopped).Milliseconds()
+	if stop != nil {
+		f["arrivedAfterStopMs"] = r.Arrived.Sub(stop.startedAt).Milliseconds()
 	}
 	if r.route != nil {
 		f["route"] = r.route.Name
--- a/gateway/silent_test.go
+++ b/gateway/silent_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"ibiswinch/core/refusal"
 )
 
 // slowAnswer pauses before its body and before one of its events, as long as its attempt isn't cancelled.
@@ -15,9 +18,12 @@
 	ctx        context.Context
 	pause      time.Duration
 	pauseEvent int
+	// paused counts the pauses that have begun.
+	paused *atomic.Int32
 }
 
 func (a *slowAnswer) sleep() error {
+	a.paused.Add(1)
 	select {
 	case <-time.After(a.pause):
 		return nil
@@ -48,13 +54,14 @@
 	pause     time.Duration
 	onlyFirst bool
 	attempts  []Attempt
+	paused    atomic.Int32
 }
 
 func (b *silentBackend) Send(ctx context.Context, a Attempt) (Answer, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.attempts = append(b.attempts, a)
-	answer := &slowAnswer{fakeAnswer: fakeAnswer{status: 200}, ctx: ctx}
+	answer := &slowAnswer{fakeAnswer: fakeAnswer{status: 200}, ctx: ctx, paused: &b.paused}
 	if !b.onlyFirst || len(b.attempts) == 1 {
 		answer.pause, answer.pauseEvent = b.pause, 1
 	}
@@ -126,3 +133,23 @@
 	f.c.Assert(b.attempts[0].Server.ID == b.attempts[1].Server.ID, qt.IsFalse)
 	f.c.Assert(b.attempts[1].LastEventID, qt.Equals, "1")
 }
+
+// TestStopLeavesOpenCallsUnanswered guards against a stopping process that exits without an answer to its open calls, and
+// against an answer that says that a call which may have run did not run.
+func TestStopLeavesOpenCallsUnanswered(t *testing.T) {
+	b := &silentBackend{pause: time.Minute}
+	f := newSilentFixture(t, b, 100, 3)
+	order, stream := make(chan *recorder, 1), make(chan *recorder, 1)
+	go func() { order <- f.post("/read/1") }()
+	go func() { stream <- f.post("/chat/1") }()
+	f.waitFor("pauses", func() bool { return b.paused.Load() == 2 })
+	f.gateway.Drain(time.Now())
+	f.gateway.GiveUp()
+	r := <-order
+	f.c.Assert(r.refused.Reason, qt.Equals, refusal.Draining)
+	f.c.Assert(r.refused.Execution, qt.Equals, refusal.Unknown)
+	s := <-stream
+	f.c.Assert(s.body, qt.Equals, "id:1\n\n")
+	f.c.Assert(s.aborted, qt.IsTrue)
+	f.waitFor("end of calls", func() bool { return f.gateway.OpenCalls() == 0 })
+}
