cmd/ibiswinch: signals are handled before the first connection is accepted

A SIGTERM between the start of the listeners and the registration of the handler ended the process at once, with the requests that it had taken. Found by reading; the time is too short for a test to hit. The handler is registered first now.

--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -143,12 +143,13 @@
 		}
 	})
 	wg.Go(func() { p.watch(ctx) })
+	// A signal that comes once calls are accepted must not end the process at once.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	callerServer, err := p.startServers()
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	for s := range signals {
 		if s != syscall.SIGHUP {
 			break
