gateway: bodies of answers without a signature aren't read

What callers would see: all requests of an entry VM are lost when its process runs out of memory.

An answer without a signature is closed unread now. Signed answers without end remain: 8 MB each, without a bound on their sum.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -196,15 +196,15 @@
 
 // relayWhole reads an answer that isn't a stream and forwards it if it is successful.
 func (x *exchange) relayWhole(ctx, attemptCtx context.Context, answer Answer) attemptResult {
+	if !answer.Signed() {
+		answer.Close()
+		return attemptResult{outcome: placement.Interrupted, arrived: true, err: errUnsigned}
+	}
 	body, err := answer.Body(maxAnswerBytes)
 	if err != nil {
 		answer.Close()
 		return x.resultOfError(ctx, attemptCtx, err)
 	}
-	if !answer.Signed() {
-		answer.Close()
-		return attemptResult{outcome: placement.Interrupted, arrived: true, err: errUnsigned}
-	}
 	if !isSuccess(answer.Status()) {
 		return attemptResult{outcome: placement.Failed, arrived: true, answer: answer, body: body, err: errors.New("the server failed")}
 	}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -230,6 +230,11 @@
 	return t.answer, nil
 }
 
+// backendFunc is a Backend that answers all attempts alike.
+type backendFunc func() (Answer, error)
+
+func (b backendFunc) Send(context.Context, Attempt) (Answer, error) { return b() }
+
 // recorder is a Reply that records what the caller gets.
 type recorder struct {
 	refused  *refusal.Error
