gateway: an invalid crash report hides no others

One invalid report in the record of an entry VM, as of a server with a long id, made the others skip all of its reports and clearances for as long as it was listed, up to half an hour: they kept sending a deadly request to servers that it then crashed, or kept refusing one that had been answered. Invalid entries are now left out one by one. TestOddReportHidesOthers failed before: the request that had crashed three servers wasn't refused.

--- a/core/crash/report.go
+++ b/core/crash/report.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -71,18 +72,44 @@
 
 // Validate checks a record of another entry VM.
 func (r Record) Validate() error {
+	_, err := r.Sound()
+	return err
+}
+
+// Sound returns the record without its invalid entries, and the error of the first of these.
+func (r Record) Sound() (Record, error) {
 	if len(r.Reports) > maxListed || len(r.Cleared) > maxListed {
-		return eris.Wrapf(ErrInvalid, "%d reports, %d cleared", len(r.Reports), len(r.Cleared))
+		return Record{}, eris.Wrapf(ErrInvalid, "%d reports, %d cleared", len(r.Reports), len(r.Cleared))
 	}
+	var sound Record
+	var first error
 	for _, report := range r.Reports {
-		if !report.isValid() || report.SentAt.IsZero() || report.CrashedAt.Before(report.SentAt) {
-			return eris.Wrapf(ErrInvalid, "report of %q at %q", report.Subject, report.Server)
+		if err := report.validate(); err != nil {
+			first = cmp.Or(first, err)
+			continue
 		}
+		sound.Reports = append(sound.Reports, report)
 	}
 	for _, c := range r.Cleared {
-		if !c.isValid() || c.At.IsZero() {
-			return eris.Wrapf(ErrInvalid, "clearance of %q at %q", c.Subject, c.Server)
+		if err := c.validate(); err != nil {
+			first = cmp.Or(first, err)
+			continue
 		}
+		sound.Cleared = append(sound.Cleared, c)
+	}
+	return sound, first
+}
+
+func (r Report) validate() error {
+	if !r.isValid() || r.SentAt.IsZero() || r.CrashedAt.Before(r.SentAt) {
+		return eris.Wrapf(ErrInvalid, "report of %.32q at %.32q", r.Subject, r.Server)
+	}
+	return nil
+}
+
+func (c Clearance) validate() error {
+	if !c.isValid() || c.At.IsZero() {
+		return eris.Wrapf(ErrInvalid, "clearance of %.32q at %.32q", c.Subject, c.Server)
 	}
 	return nil
 }
--- a/gateway/odd_records_test.go
+++ b/gateway/odd_records_test.go
@@ -1,12 +1,17 @@
 package gateway
 
 import (
+	"encoding/json"
+	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"ibiswinch/core/call"
+	"ibiswinch/core/crash"
 	"ibiswinch/core/keyed"
+	"ibiswinch/io/apexlog"
 )
 
 // putRaw appends a record whose value is no JSON of an entry VM.
@@ -34,3 +39,25 @@
 		f.c.Check(r.refused, qt.IsNotNil, qt.Commentf("%s", value))
 	}
 }
+
+// TestOddReportHidesOthers guards against a quarantine that other entry VMs don't learn of, as one report beside those of its
+// crashes is invalid.
+func TestOddReportHidesOthers(t *testing.T) {
+	c := qt.New(t)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	cfg := Config{Name: "vm-1", Now: func() time.Time { return now }, Events: apexlog.Discard()}
+	s := newSuspectController(cfg, newFleetController(cfg))
+	call := promptCall(1, sessionPart)
+	var in crash.Record
+	for i, server := range []string{"s-1", strings.Repeat("s", 255), "s-2", "s-3"} {
+		at := now.Add(time.Duration(i) * time.Second)
+		in.Reports = append(in.Reports, crash.Report{
+			Incident: crash.Incident{Subject: crash.RequestSubject(call), Server: server}, SentAt: at, CrashedAt: at.Add(time.Second / 2),
+		})
+	}
+	value, err := json.Marshal(in)
+	c.Assert(err, qt.IsNil)
+	s.set(keyed.Record{Key: "vm-2", Value: value})
+	_, refused := s.check(call)
+	c.Assert(refused, qt.IsTrue)
+}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -141,13 +141,13 @@
 // set merges the record of an entry VM. That of an earlier process of this one is adopted, as the next one replaces it.
 func (s *suspectController) set(r keyed.Record) {
 	var in crash.Record
-	err := json.Unmarshal(r.Value, &in)
-	if err == nil {
-		err = in.Validate()
+	if err := json.Unmarshal(r.Value, &in); err != nil {
+		s.cfg.logSkipped(r, err)
+		return
 	}
+	in, err := in.Sound()
 	if err != nil {
-		s.cfg.Events.Event(event.RecordSkipped, apexlog.Fields{"key": r.Key, "offset": r.Offset, "error": err.Error()})
-		return
+		s.cfg.logSkipped(r, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
