gateway: heartbeats that no entry VM sends are skipped

A heartbeat needs a name of at most 128 bytes, an incarnation and a time up to the year 9999, and its calls and limits must be from 0 to 2^31-1. TestOddHeartbeatCounts failed before: the number of entry VMs and of those that share limits rose by the odd ones.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -42,6 +43,9 @@
 	// records waits.
 	minReadWait   = time.Second
 	readWaitPerVM = 10 * time.Millisecond
+	// maxVMNameBytes bounds the name of an entry VM. maxHeartbeatTime is the last millisecond of the year 9999 in Unix time.
+	maxVMNameBytes   = 128
+	maxHeartbeatTime = 253402300799999
 )
 
 // heartbeat is the record with which an entry VM tells the others its state.
@@ -62,6 +66,32 @@
 	Limits map[string]float64 `json:"limits,omitempty"`
 }
 
+// errInvalidHeartbeat is wrapped by the errors of heartbeats that no entry VM sends.
+var errInvalidHeartbeat = eris.New("invalid heartbeat")
+
+// validate checks a heartbeat of the entry VM with a name.
+func (h *heartbeat) validate(name string) error {
+	switch {
+	case name == "" || len(name) > maxVMNameBytes:
+		return eris.Wrapf(errInvalidHeartbeat, "name of %d bytes", len(name))
+	case h.Incarnation == "":
+		return eris.Wrap(errInvalidHeartbeat, "incarnation missing")
+	case h.Time <= 0 || h.Time > maxHeartbeatTime:
+		return eris.Wrapf(errInvalidHeartbeat, "time %d", h.Time)
+	}
+	for _, n := range h.Calls {
+		if n < 0 || n > math.MaxInt32 {
+			return eris.Wrapf(errInvalidHeartbeat, "%d calls", n)
+		}
+	}
+	for _, perSecond := range h.Limits {
+		if perSecond < 0 || perSecond > math.MaxInt32 {
+			return eris.Wrapf(errInvalidHeartbeat, "limit of %v calls a second", perSecond)
+		}
+	}
+	return nil
+}
+
 // fleetController sends heartbeats to the other entry VMs and tracks theirs.
 type fleetController struct {
 	cfg     Config
@@ -210,8 +240,12 @@
 // sender's clock.
 func (f *fleetController) set(r keyed.Record, fresh bool) {
 	var h heartbeat
-	if err := json.Unmarshal(r.Value, &h); err != nil {
-		f.cfg.Events.Event(event.RecordSkipped, apexlog.Fields{"key": r.Key, "offset": r.Offset, "error": err.Error()})
+	err := json.Unmarshal(r.Value, &h)
+	if err == nil {
+		err = h.validate(r.Key)
+	}
+	if err != nil {
+		f.cfg.logSkipped(r, err)
 		return
 	}
 	if fresh && r.Key != f.cfg.Name {
--- a/gateway/odd_records_test.go
+++ b/gateway/odd_records_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -61,3 +62,29 @@
 	_, refused := s.check(call)
 	c.Assert(refused, qt.IsTrue)
 }
+
+// TestOddHeartbeatCounts guards against heartbeats that no entry VM sends: they would move the fleet's clock, take a part of
+// the retry limit, and make the shares of a server's limit no numbers.
+func TestOddHeartbeatCounts(t *testing.T) {
+	c := qt.New(t)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	f := New(Config{Name: "vm-1", Now: func() time.Time { return now }, Events: apexlog.Discard()}).fleet
+	sound := fmt.Sprintf(`{"incarnation":"1","address":"10.0.0.2:7200","zone":"z","time":%d,"calls":{"s":5}}`, now.UnixMilli())
+	f.apply(keyed.Record{Key: "vm-2", Value: []byte(sound)})
+	for _, r := range []keyed.Record{
+		{Key: "", Value: []byte(sound)}, {Key: "odd"}, {Key: strings.Repeat("k", 255), Value: []byte(sound)},
+		{Key: "odd", Value: []byte(`null`)}, {Key: "odd", Value: []byte(`{}`)}, {Key: "odd", Value: []byte(strings.Repeat("[", 1_000_000))},
+		{Key: "odd", Value: []byte(`{"incarnation":"1","time":0}`)}, {Key: "odd", Value: []byte(`{"incarnation":"1","time":-1}`)},
+		{Key: "odd", Value: []byte(`{"incarnation":"1","time":9223372036854775807}`)}, {Key: "odd", Value: []byte(`{"incarnation":"1","time":1e400}`)},
+		{Key: "odd", Value: []byte(strings.Replace(sound, `"s":5`, `"s":-5`, 1))},
+		{Key: "odd", Value: []byte(strings.Replace(sound, `"s":5`, `"s":9223372036854775807`, 1))},
+		{Key: "odd", Value: []byte(strings.Replace(sound, `"calls":{"s":5}`, `"limits":{"s@1":-1}`, 1))},
+		{Key: "odd", Value: []byte(strings.Replace(sound, `"calls":{"s":5}`, `"limits":{"s@1":1e308}`, 1))},
+	} {
+		f.snapshot([]keyed.Record{r})
+		f.apply(r)
+		c.Check(f.count(), qt.Equals, 2, qt.Commentf("%.80s %.80s", r.Key, r.Value))
+		c.Check(f.timeOfDay(), qt.Equals, now, qt.Commentf("%.80s %.80s", r.Key, r.Value))
+		c.Check(f.sharers("s", 7), qt.HasLen, 2, qt.Commentf("%.80s %.80s", r.Key, r.Value))
+	}
+}
