gateway, platform: a position isn't continued in a log that was restored from a copy

What callers would see: requests at a server that has left, on a route that was moved, or refused on a new route, for as long as no further record follows. A restored store gives offsets out again. If as many records are written again before an entry VM reads as it had read before, its read succeeds and it misses those below its position.

Evidence: TestRestoredLogHidesRecords failed without the comparison of eras: a server that drains was never seen.

Pages of newest records of two eras are not joined.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -46,6 +46,7 @@
 	AppendRejected          = Event{206, Error, "append rejected by the log"}
 	PlatformListUnavailable = Event{207, Debug, "reading a list of the platform failed"}
 	SkippedToNewest         = Event{208, Info, "too far behind in the log, skipping to the newest records"}
+	LogRestored             = Event{209, Warn, "platform log restored from a copy, loading its newest records"}
 )
 
 // Configuration: 300 to 399.
@@ -136,7 +137,7 @@
 		ProcessStarted, ProcessReady, ProcessDraining, ProcessStopped, DrainTimedOut, HandlerPanicked,
 		SettingsReloaded, SettingsRejected,
 		LogUnavailable, LogAvailable, RecordSkipped, StreamHalted, SnapshotWritten, SnapshotNeeded, AppendRejected,
-		PlatformListUnavailable, SkippedToNewest,
+		PlatformListUnavailable, SkippedToNewest, LogRestored,
 		ConfigActivated, ConfigFromPeer, ConfigRejected,
 		HolderClosed, HolderSealed, BillLineNotReplicated, BillLinesRecovered, PendingBillsFull, BudgetExhausted, DuplicateBill,
 		ReservationChanged, ReservationRecovered, ReservationFailed, ReservationTooSmall,
--- a/core/keyed/keyed.go
+++ b/core/keyed/keyed.go
@@ -49,11 +49,25 @@
 	// Next is the offset to read from next. End is the end offset of the partition at the time of the read.
 	Next uint64
 	End  uint64
+	// Era is the era in which the offsets hold.
+	Era Era
 }
 
-// ErrTrimmed is returned by a read of records that the log no longer keeps; the newest record of each key is still
-// there.
-var ErrTrimmed = eris.New("records at the requested offset were trimmed from the log")
+// Era counts how often the log was restored from a copy. A restored log has lost its newest records and gives their
+// offsets out again, so offsets of different eras can't be compared.
+type Era uint64
+
+// Appended is the result of an append.
+type Appended struct {
+	// End is the end offset of the partition after the append.
+	End uint64
+	// Era is the era in which the records were appended.
+	Era Era
+}
+
+// ErrTrimmed is returned by a read of records that the log no longer keeps, and by one beyond the end of a log that was
+// restored from a copy. The newest record of each key is still there.
+var ErrTrimmed = eris.New("the log has no records at the requested offset")
 
 // ErrUnavailable is wrapped by errors of a log that can't be reached or rejected the call.
 var ErrUnavailable = eris.New("log unavailable")
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -30,12 +30,17 @@
 	// snapshot gets the newest records of all keys. A key that isn't among them doesn't exist.
 	snapshot func(records []keyed.Record)
 	apply    func(r keyed.Record)
-	// onLogDown and onLogUp are called when the log becomes unavailable and available again. They may be nil.
-	onLogDown, onLogUp func(now time.Time)
+	// onLogDown and onLogUp are called when the log becomes unavailable and available again, onRestored before the first
+	// snapshot of a log that was restored from a copy. They may be nil.
+	onLogDown, onLogUp, onRestored func(now time.Time)
 
+	// next is the offset to read next in era.
 	next    uint64
+	era     keyed.Era
 	started bool
 	logDown bool
+	// hasSnapshot is set once a snapshot was loaded.
+	hasSnapshot bool
 }
 
 func (f *follower) loop(ctx context.Context) error {
@@ -83,7 +88,8 @@
 			return err
 		}
 		f.setLogUp()
-		f.next, f.started = batch.Next, true
+		f.setEra(batch.Era)
+		f.next, f.started, f.hasSnapshot = batch.Next, true, true
 		f.snapshot(batch.Records)
 		return nil
 	}
@@ -96,6 +102,11 @@
 		return err
 	}
 	f.setLogUp()
+	if batch.Era != f.era {
+		// The records at these offsets follow others than those that were read before.
+		f.started = false
+		return nil
+	}
 	f.applyNewest(batch.Records)
 	f.next = batch.Next
 	if f.next < batch.End {
@@ -106,6 +117,23 @@
 	return nil
 }
 
+// setEra records the era of a snapshot.
+func (f *follower) setEra(era keyed.Era) {
+	if f.era == era {
+		return
+	}
+	old := f.era
+	f.era = era
+	if f.hasSnapshot {
+		fields := f.fields()
+		fields["era"], fields["oldEra"] = era, old
+		f.cfg.Events.Event(event.LogRestored, fields)
+		if f.onRestored != nil {
+			f.onRestored(f.cfg.Now())
+		}
+	}
+}
+
 // applyNewest applies only the newest record of each key.
 func (f *follower) applyNewest(records []keyed.Record) {
 	newest := make(map[string]uint64, len(records))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,7 +27,7 @@
 // Log is the part of the platform's log that an entry VM needs.
 type Log interface {
 	// Append adds records. If expected is set and isn't the end of the partition, it fails with a keyed.ConflictError.
-	Append(ctx context.Context, p keyed.Partition, records []keyed.Record, expected *uint64) (end uint64, err error)
+	Append(ctx context.Context, p keyed.Partition, records []keyed.Record, expected *uint64) (keyed.Appended, error)
 	// Read returns the records from an offset on. If there are none it waits up to wait for the first.
 	Read(ctx context.Context, p keyed.Partition, from uint64, wait time.Duration) (keyed.Batch, error)
 	// Latest returns the newest record of each key and the offset to continue reading from.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -27,17 +28,20 @@
 	mu         sync.Mutex
 	partitions map[keyed.Partition][]keyed.Record
 	trimmed    map[keyed.Partition]uint64
+	era        keyed.Era
 	down       bool
 	// maxReadRecords bounds the records of one read; 0 means no bound.
 	maxReadRecords uint64
 	// operationReads counts the reads of keyed.Operations.
 	operationReads int
+	// lastFrom is the offset of the last read of each stream.
+	lastFrom map[keyed.Stream]uint64
 	// longestWaits holds the longest time that a read of each stream was to wait.
 	longestWaits map[keyed.Stream]time.Duration
 }
 
 func newMemoryLog() *memoryLog {
-	return &memoryLog{partitions: map[keyed.Partition][]keyed.Record{}, trimmed: map[keyed.Partition]uint64{}, longestWaits: map[keyed.Stream]time.Duration{}}
+	return &memoryLog{partitions: map[keyed.Partition][]keyed.Record{}, trimmed: map[keyed.Partition]uint64{}, longestWaits: map[keyed.Stream]time.Duration{}, lastFrom: map[keyed.Stream]uint64{}}
 }
 
 func (l *memoryLog) setDown(down bool) {
@@ -63,21 +67,21 @@
 	_, _ = l.Append(context.Background(), keyed.Partition{Stream: s}, []keyed.Record{{Key: key, Value: b}}, nil)
 }
 
-func (l *memoryLog) Append(_ context.Context, p keyed.Partition, records []keyed.Record, expected *uint64) (uint64, error) {
+func (l *memoryLog) Append(_ context.Context, p keyed.Partition, records []keyed.Record, expected *uint64) (keyed.Appended, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return 0, keyed.ErrUnavailable
+		return keyed.Appended{}, keyed.ErrUnavailable
 	}
 	end := uint64(len(l.partitions[p]))
 	if expected != nil && *expected != end {
-		return 0, &keyed.ConflictError{End: end}
+		return keyed.Appended{}, &keyed.ConflictError{End: end}
 	}
 	for _, r := range records {
 		r.Offset = uint64(len(l.partitions[p]))
 		l.partitions[p] = append(l.partitions[p], r)
 	}
-	return uint64(len(l.partitions[p])), nil
+	return keyed.Appended{End: uint64(len(l.partitions[p])), Era: l.era}, nil
 }
 
 func (l *memoryLog) Read(ctx context.Context, p keyed.Partition, from uint64, wait time.Duration) (keyed.Batch, error) {
@@ -86,24 +90,25 @@
 		l.operationReads++
 	}
 	l.longestWaits[p.Stream] = max(l.longestWaits[p.Stream], wait)
+	l.lastFrom[p.Stream] = from
 	l.mu.Unlock()
 	for until := time.Now().Add(wait); ; {
 		l.mu.Lock()
-		all, down, first := l.partitions[p], l.down, l.trimmed[p]
+		all, down, first, era := l.partitions[p], l.down, l.trimmed[p], l.era
 		l.mu.Unlock()
 		switch {
 		case down:
 			return keyed.Batch{}, keyed.ErrUnavailable
-		case from < first:
+		case from < first, from > uint64(len(all)):
 			return keyed.Batch{}, keyed.ErrTrimmed
 		case from < uint64(len(all)):
 			last := uint64(len(all))
 			if l.maxReadRecords > 0 {
 				last = min(last, from+l.maxReadRecords)
 			}
-			return keyed.Batch{Records: all[from:last], Next: last, End: uint64(len(all))}, nil
+			return keyed.Batch{Records: all[from:last], Next: last, End: uint64(len(all)), Era: era}, nil
 		case ctx.Err() != nil || time.Now().After(until):
-			return keyed.Batch{Next: from, End: from}, ctx.Err()
+			return keyed.Batch{Next: from, End: from, Era: era}, ctx.Err()
 		}
 		time.Sleep(time.Millisecond)
 	}
@@ -123,13 +128,50 @@
 		}
 	}
 	end := uint64(len(l.partitions[p]))
-	batch := keyed.Batch{Next: end, End: end}
+	batch := keyed.Batch{Next: end, End: end, Era: l.era}
 	for _, r := range newest {
 		batch.Records = append(batch.Records, r)
 	}
 	return batch, nil
 }
 
+// ends returns the end offsets of all partitions, for restore.
+func (l *memoryLog) ends() map[keyed.Partition]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ends := map[keyed.Partition]int{}
+	for p, records := range l.partitions {
+		ends[p] = len(records)
+	}
+	return ends
+}
+
+// readUpTo returns the offset of the last read of a stream.
+func (l *memoryLog) readUpTo(s keyed.Stream) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lastFrom[s]
+}
+
+// restore returns to the state with the given ends in the next era. The records of the operator and of the backend
+// servers are appended again, after extra records.
+func (l *memoryLog) restore(ends map[keyed.Partition]int, extra map[keyed.Stream][]keyed.Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.era++
+	for p, records := range l.partitions {
+		lost := records[ends[p]:]
+		records = slices.Clone(records[:ends[p]])
+		if p.Stream == keyed.Operations || p.Stream == keyed.Servers {
+			for _, r := range append(slices.Clone(extra[p.Stream]), lost...) {
+				r.Offset = uint64(len(records))
+				records = append(records, r)
+			}
+		}
+		l.partitions[p] = records
+	}
+}
+
 func (l *memoryLog) trim(p keyed.Partition) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/gateway/renew.go
+++ b/gateway/renew.go
@@ -171,7 +171,7 @@
 	}
 	expected := lp.follow.next
 	lp.budgets.cfg.Metrics.CountAppend()
-	end, err := lp.budgets.cfg.Log.Append(ctx, lp.follow.partition, records, &expected)
+	appended, err := lp.budgets.cfg.Log.Append(ctx, lp.follow.partition, records, &expected)
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
 	if err != nil {
@@ -181,10 +181,10 @@
 		}
 		return err
 	}
-	lp.follow.next = end
+	lp.follow.next = appended.End
 	for _, p := range plans {
 		lp.recordsOf(p.team).Set(lp.budgets.cfg.Name, p.Record)
-		lp.accounts[p.team].Observe(p.Record, end)
+		lp.accounts[p.team].Observe(p.Record, appended.End)
 		if p.Reason == escrow.Refresh {
 			continue
 		}
