core/escrow: a first write with unknown outcome limits what may be spent

What callers would see: a team gets more than its budget. A process that has received tokens from another entry VM and returns some of them with its first write went on spending them when the answer was lost, while others could reserve them again.

Cause: before the first accepted write, writes with unknown outcome were left out of the bound.

Evidence: a property test with lost answers and transfers reached 2,390 tokens of 2,389 within 400,000 runs; TestReturnedTokensAreSpent failed before: 20,000 tokens available instead of 3,000. All writes with unknown outcome count now.

--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -127,10 +127,10 @@
 // usable returns the maximum that may be charged now. Before the first accepted write only tokens given by other entry
 // VMs may be spent.
 func (a *Account) usable(now time.Time) int64 {
-	if !a.writeAccepted {
-		return a.initialCharge
+	bound := a.initialCharge
+	if a.writeAccepted {
+		bound = a.confirmed.MaxUsed(now.Sub(a.sentAt))
 	}
-	bound := a.confirmed.MaxUsed(now.Sub(a.sentAt))
 	for _, w := range a.pending {
 		bound = min(bound, w.record.MaxUsed(now.Sub(w.sentAt)))
 	}
