gateway, core/escrow: reservations are put back into a restored store before tokens are reserved

Cause: the store was taken for the truth about reservations. After the restoration, what had been reserved since the copy looked free, others reserved it again, and holders took their own older records back.

Evidence: TestRestoredLedgerForgetsReservations and TestRestoredLedgerForgetsDeadHolder fail without the put-back (144,000 tokens of 100,000 each), and TestRestoredStorePassesBudget, a property test with lost and late writes, without the order of records or without the wait.

Fix: records carry a sequence number, so that readers keep the newest that they have seen, whatever the store says. In a new era each holder writes its records again, and after 0.6 s others write those that their holders didn't. Heartbeats say which era the sender has restored. An append that lands in another era than that of its read is void. What a process of an earlier era may have left over isn't recovered.

Not covered: a reservation that only a process has known that dies in the same moment, and a fleet of which no process survives the restoration.

--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -67,6 +67,10 @@
 	// writeAccepted is set when the store has accepted a write of this process. Writes of the previous process can't be
 	// applied any more then; until then nothing of the reservation may be spent.
 	writeAccepted bool
+	// sequence is the number of the last write that was sent, era the era of the store.
+	sequence, era uint64
+	// unstated is set if the store was restored from a copy and may lack the confirmed record.
+	unstated bool
 
 	// spent is the use of finished calls, held is set aside for running calls. credit is what other entry VMs gave to
 	// this account minus what it gave to them; the giver charges it to its own reservation.
@@ -90,9 +94,9 @@
 }
 
 // NewAccount returns the account of an entry VM that starts. All that its previous process reserved counts as used
-// until Recover is called. The rate starts at the recorded one, since the same callers come back.
-func NewAccount(now time.Time, holder string, r Record) *Account {
-	a := &Account{holder: holder, confirmed: r, sentAt: now, spent: r.Reserved + r.Credit, credit: r.Credit, initialCharge: r.Reserved}
+// until Recover is called. The rate starts at the recorded one, since the same callers come back. r was read in era.
+func NewAccount(now time.Time, holder string, r Record, era uint64) *Account {
+	a := &Account{holder: holder, confirmed: r, sentAt: now, spent: r.Reserved + r.Credit, credit: r.Credit, initialCharge: r.Reserved, sequence: r.Sequence, era: era}
 	a.rate, a.rateAt = float64(r.Rate), now
 	if r.Reserved > r.Base {
 		a.previous = &r
@@ -229,8 +233,35 @@
 // WriteSent records that a write has been sent to the store, on the condition that the partition ends at expectedEnd.
 func (a *Account) WriteSent(now time.Time, expectedEnd uint64, r Record) {
 	a.pending = append(a.pending, pendingWrite{record: r, sentAt: now, expectedEnd: expectedEnd})
+	a.sequence = max(a.sequence, r.Sequence)
 }
 
+// Restored records that the store was restored from a copy and is in a new era. Writes with unknown outcome are void, whether the store had
+// applied them or not: nothing beyond any of them may be spent, and the next write replaces them.
+func (a *Account) Restored(era uint64) {
+	a.era = era
+	for _, w := range a.pending {
+		a.confirmed.Reserved = min(a.confirmed.Reserved, w.record.Reserved)
+	}
+	a.pending = nil
+	a.confirmed.Sequence = a.sequence
+	a.unstated = a.writeAccepted
+}
+
+// Unstated reports whether the store may lack the record of this process, so that Restate must be written.
+func (a *Account) Unstated() bool { return a.unstated }
+
+// Restate returns the write that puts the record of this process back into a restored store. It neither reserves nor
+// returns tokens, so it may be written whatever the others have written.
+func (a *Account) Restate(at time.Time) Plan {
+	r := a.confirmed
+	r.Base, r.Used, r.Credit, r.At, r.Sequence, r.Era = a.charged(), a.spent, a.credit, at.UnixMilli(), a.sequence+1, a.era
+	return Plan{Reason: Refresh, Record: r}
+}
+
+// Forfeit gives up what the previous process may have left over, since its last record isn't known for certain.
+func (a *Account) Forfeit() { a.previous = nil }
+
 // Observe takes the record that the store holds when the partition ends at end. Pending writes for an earlier end can't
 // be applied any more; a write for this end still may be.
 func (a *Account) Observe(r Record, end uint64) {
@@ -238,22 +269,28 @@
 	switch {
 	case i >= 0:
 		a.confirmed, a.sentAt, a.writeAccepted = r, a.pending[i].sentAt, true
-	case r != a.confirmed:
+		a.unstated = false
+	case r != a.confirmed && (r.Sequence > a.confirmed.Sequence || r.Sequence == 0 && a.sequence == 0):
 		a.adoptLateWrite(r)
 	}
 	a.pending = slices.DeleteFunc(a.pending, func(w pendingWrite) bool { return w.expectedEnd < end })
 }
 
-// adoptLateWrite takes over a write of the previous process that was applied after the start of this one.
+// adoptLateWrite takes over a record of the previous process that appears after the start of this one: a write that was
+// applied late, or one that a restored store had lost. All that such a record reserves counts as used, unless Recover has
+// shown that it is not.
 func (a *Account) adoptLateWrite(r Record) {
-	if a.previous != nil {
-		reserved, credit := r.Reserved-a.previous.Reserved, r.Credit-a.previous.Credit
+	if a.previous != nil || r.Era != a.era {
+		reserved, credit := r.Reserved-a.confirmed.Reserved, r.Credit-a.confirmed.Credit
 		a.spent += reserved + credit
 		a.credit += credit
 		a.initialCharge += reserved
+	}
+	if a.previous != nil {
 		a.previous = &r
 	}
 	a.confirmed = r
+	a.sequence = max(a.sequence, r.Sequence)
 }
 
 // BeginDrain saves the current rate, before callers move to other entry VMs, so that Close can record it for the next
--- a/core/escrow/account_test.go
+++ b/core/escrow/account_test.go
@@ -65,7 +65,7 @@
 	w := &model{now: time.Unix(1000, 0), limit: int64(rapid.IntRange(2000, 12_000).Draw(t, "limit")), store: store{records: map[string]escrow.Record{}}}
 	for i := range rapid.IntRange(1, 3).Draw(t, "holders") {
 		h := &holder{name: fmt.Sprint("vm-", i)}
-		h.account = escrow.NewAccount(w.now, h.name, escrow.Record{})
+		h.account = escrow.NewAccount(w.now, h.name, escrow.Record{}, 0)
 		w.holders = append(w.holders, h)
 	}
 	return w
@@ -187,7 +187,7 @@
 	w.now = w.now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "down ms")) * time.Millisecond)
 	started := w.now
 	h.reservations, h.next = escrow.Reservations{}, 0
-	h.account = escrow.NewAccount(w.now, h.name, w.store.records[h.name])
+	h.account = escrow.NewAccount(w.now, h.name, w.store.records[h.name], 0)
 	w.read(h)
 	if r, inherited := h.account.PendingRecovery(); inherited && rapid.IntRange(0, 4).Draw(t, "clocks known") > 0 {
 		h.account.Recover(started.Sub(time.UnixMilli(r.At)))
--- a/core/escrow/decode.go
+++ b/core/escrow/decode.go
@@ -10,6 +10,8 @@
 	// maxTokens bounds the amounts of a record, so that the sums over all holders of a team and their percentages don't
 	// overflow.
 	maxTokens = 1 << 50
+	// maxSequence bounds the number of a write; a holder writes a few records a second.
+	maxSequence = 1 << 53
 	// maxTime is the last millisecond of the year 9999 in Unix time.
 	maxTime = 253402300799999
 )
@@ -29,6 +31,9 @@
 			return eris.Wrapf(ErrInvalidRecord, "amount %d", n)
 		}
 	}
+	if p.Sequence > maxSequence {
+		return eris.Wrapf(ErrInvalidRecord, "sequence %d", p.Sequence)
+	}
 	if p.At <= 0 || p.At > maxTime {
 		return eris.Wrapf(ErrInvalidRecord, "time %d", p.At)
 	}
--- a/core/escrow/pending_test.go
+++ b/core/escrow/pending_test.go
@@ -15,7 +15,7 @@
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	var reservations escrow.Reservations
-	a := escrow.NewAccount(now, "vm-1", escrow.Record{})
+	a := escrow.NewAccount(now, "vm-1", escrow.Record{}, 0)
 	a.Receive(20_000)
 	plan := a.Plan(now, now, escrow.Policy{IdleReserve: 3000}, 100_000, &reservations)
 	c.Assert(plan.Reason, qt.Equals, escrow.Return)
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -73,7 +73,7 @@
 	}
 	return Plan{Reason: reason, Record: Record{
 		Reserved: reserved, Base: a.charged(), Used: a.spent, Credit: a.credit, Want: want, At: at.UnixMilli(), Burst: burst,
-		SlowRate: a.slowGrowth(limit, reservations), Rate: max(policy.MinRate, int64(a.rate)),
+		SlowRate: a.slowGrowth(limit, reservations), Rate: max(policy.MinRate, int64(a.rate)), Sequence: a.sequence + 1, Era: a.era,
 	}}
 }
 
@@ -86,7 +86,7 @@
 	}
 	base := a.charged()
 	return Plan{Reason: reason, Record: Record{
-		Reserved: reserved, Base: base, Used: a.spent, Credit: a.credit, At: at.UnixMilli(), Burst: max(reserved-base, 0),
+		Reserved: reserved, Base: base, Used: a.spent, Credit: a.credit, At: at.UnixMilli(), Burst: max(reserved-base, 0), Sequence: a.sequence + 1, Era: a.era,
 	}}
 }
 
@@ -179,6 +179,6 @@
 	a.decayRate(now)
 	charged := a.charged()
 	return Plan{Reason: Close, Record: Record{
-		Reserved: charged, Base: charged, Used: a.spent, Credit: a.credit, At: at.UnixMilli(), Rate: int64(max(a.rate, a.rateBeforeDrain)),
+		Reserved: charged, Base: charged, Used: a.spent, Credit: a.credit, At: at.UnixMilli(), Rate: int64(max(a.rate, a.rateBeforeDrain)), Sequence: a.sequence + 1, Era: a.era,
 	}}
 }
--- /dev/null
+++ b/core/escrow/putback_test.go
@@ -0,0 +1,211 @@
+package escrow_test
+
+import (
+	"maps"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ibiswinch/core/escrow"
+)
+
+// restoreModel is a model whose store is restored from copies. A record that only a process knew that was killed is lost,
+// so processes aren't killed between a restoration and the end of the put-back.
+type restoreModel struct {
+	*model
+	era     uint64
+	copies  []map[string]escrow.Record
+	ends    []uint64
+	eras    map[*holder]uint64
+	putBack map[*holder]*escrow.PutBack
+}
+
+func newRestoreModel(t *rapid.T) *restoreModel {
+	w := &restoreModel{model: newModel(t), eras: map[*holder]uint64{}, putBack: map[*holder]*escrow.PutBack{}}
+	for _, h := range w.holders {
+		w.begin(h)
+	}
+	return w
+}
+
+func (w *restoreModel) begin(h *holder) {
+	w.putBack[h] = &escrow.PutBack{}
+	w.putBack[h].Begin(w.now.Add(-time.Hour), w.era)
+	w.eras[h] = w.era
+}
+
+// copyStore keeps a copy for a later restoration.
+func (w *restoreModel) copyStore(*rapid.T) {
+	w.copies, w.ends = append(w.copies, maps.Clone(w.store.records)), append(w.ends, w.store.end)
+}
+
+func (w *restoreModel) restore(t *rapid.T) {
+	if len(w.copies) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.copies)-1).Draw(t, "copy")
+	for _, h := range w.holders {
+		if rapid.Bool().Draw(t, "has read all") {
+			w.read(h)
+		}
+	}
+	w.store.records, w.store.end = maps.Clone(w.copies[i]), w.ends[i]
+	w.copies, w.ends = nil, nil
+	w.era++
+}
+
+func (w *restoreModel) read(h *holder) {
+	if w.eras[h] != w.era {
+		w.eras[h] = w.era
+		w.putBack[h].Begin(w.now, w.era)
+		h.account.Restored(w.era)
+	}
+	for name := range h.reservations.Holders() {
+		if _, found := w.store.records[name]; !found {
+			w.putBack[h].Observe(name, true)
+		}
+	}
+	for name, r := range w.store.records {
+		w.putBack[h].Observe(name, !h.reservations.Set(name, r))
+	}
+	h.next = w.store.end
+	h.account.Observe(h.reservations.Record(h.name), h.next)
+}
+
+func (w *restoreModel) isDone(h *holder) bool {
+	return w.eras[h] == w.era && w.putBack[h].IsDone() && !h.account.Unstated()
+}
+
+func (w *restoreModel) allDone() bool {
+	for _, h := range w.holders {
+		if !w.isDone(h) {
+			return false
+		}
+	}
+	return true
+}
+
+// write puts back what is missing, and writes as the embedded model does once that is allowed.
+func (w *restoreModel) write(t *rapid.T, h *holder) {
+	w.read(h)
+	if h.account.Unstated() {
+		w.restate(t, h)
+		return
+	}
+	for _, name := range w.putBack[h].Stale(w.now) {
+		if w.store.append(name, h.reservations.Record(name), h.next) {
+			h.next++
+			w.putBack[h].Observe(name, false)
+		}
+	}
+	if w.putBack[h].MayReserve(w.now, w.allDone()) && !h.account.Unstated() {
+		w.model.write(t, h)
+	}
+}
+
+// restate writes the own record again, on no condition.
+func (w *restoreModel) restate(t *rapid.T, h *holder) {
+	plan := h.account.Restate(w.now)
+	h.account.WriteSent(w.now, math.MaxUint64, plan.Record)
+	switch rapid.SampledFrom([]string{"answered", "answered", "answer lost", "lost"}).Draw(t, "outcome") {
+	case "answered":
+		w.store.append(h.name, plan.Record, w.store.end)
+		h.reservations.Set(h.name, plan.Record)
+		h.account.Observe(plan.Record, h.next)
+	case "answer lost":
+		w.store.append(h.name, plan.Record, w.store.end)
+	}
+}
+
+func (w *restoreModel) admit(t *rapid.T) {
+	h := w.pick(t)
+	tokens := int64(rapid.IntRange(1, 2500).Draw(t, "tokens"))
+	if h.account.Admit(w.now, tokens) {
+		h.held = append(h.held, tokens)
+		return
+	}
+	h.account.AddWaiting(tokens)
+	w.write(t, h)
+	h.account.RemoveWaiting(tokens)
+}
+
+func (w *restoreModel) restart(t *rapid.T) {
+	if !w.allDone() {
+		return
+	}
+	h := w.pick(t)
+	for _, tokens := range h.held {
+		h.used += tokens
+	}
+	h.held = nil
+	started := w.now
+	h.reservations, h.next = escrow.Reservations{}, 0
+	h.account = escrow.NewAccount(w.now, h.name, w.store.records[h.name], w.era)
+	w.begin(h)
+	w.read(h)
+	switch r, inherited := h.account.PendingRecovery(); {
+	case inherited && r.Era == w.era:
+		h.account.Recover(started.Sub(time.UnixMilli(r.At)))
+	case inherited:
+		h.account.Forfeit()
+	}
+}
+
+// check compares the tokens that are used or held with the limit.
+func (w *restoreModel) check(t *rapid.T) {
+	var sum int64
+	for _, h := range w.holders {
+		sum += h.used
+		for _, tokens := range h.held {
+			sum += tokens
+		}
+	}
+	if sum > w.limit {
+		t.Fatalf("%d tokens used or held, limit %d", sum, w.limit)
+	}
+}
+
+// exhaust uses what is left in small calls, so that tokens that are counted twice exceed the limit.
+func (w *restoreModel) exhaust(t *rapid.T) {
+	const tokens, rounds = 100, 200
+	for range rounds {
+		for _, h := range w.holders {
+			w.now = w.now.Add(10 * time.Millisecond)
+			for h.account.Admit(w.now, tokens) {
+				h.account.Settle(w.now, tokens, tokens)
+				h.used += tokens
+			}
+			h.account.AddWaiting(tokens)
+			w.write(t, h)
+			h.account.RemoveWaiting(tokens)
+		}
+	}
+	w.check(t)
+}
+
+// TestRestoredStorePassesBudget guards against tokens that are reserved twice because the store has forgotten the newest
+// reservations, while writes are lost or applied in the wrong era.
+func TestRestoredStorePassesBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newRestoreModel(t)
+		var actions []func(*rapid.T)
+		for _, a := range []struct {
+			weight int
+			do     func(*rapid.T)
+		}{
+			{10, w.admit}, {6, w.settle}, {6, func(t *rapid.T) { w.write(t, w.pick(t)) }}, {4, w.advance}, {3, w.transfer},
+			{2, w.copyStore}, {1, w.restore}, {2, w.applyLateWrite}, {1, w.restart},
+		} {
+			for range a.weight {
+				actions = append(actions, a.do)
+			}
+		}
+		for range steps {
+			rapid.SampledFrom(actions).Draw(t, "action")(t)
+			w.check(t)
+		}
+		w.exhaust(t)
+	})
+}
--- a/core/escrow/record.go
+++ b/core/escrow/record.go
@@ -7,7 +7,11 @@
 // Package gateway uses it. The budgets of package entry are in package budget, whose store is the log of package record.
 package escrow
 
-import "time"
+import (
+	"iter"
+	"maps"
+	"time"
+)
 
 // Record is the reservation of one holder as it is stored.
 type Record struct {
@@ -28,6 +32,11 @@
 	Rate int64 `json:"rate,omitempty"`
 	// Want is the number of unused tokens that the holder asks for.
 	Want int64 `json:"want,omitempty"`
+	// Sequence numbers the writes of the holder, over all its processes. A store that was restored from a copy has older
+	// records than its readers know; the highest number is the newest.
+	Sequence uint64 `json:"seq,omitempty"`
+	// Era is the era of the store in which the holder wrote the record.
+	Era uint64 `json:"era,omitempty"`
 }
 
 const (
@@ -75,19 +84,26 @@
 	reserved, used, wanted, idle int64
 }
 
-// Set replaces the record of a holder.
-func (b *Reservations) Set(holder string, r Record) {
+// Set replaces the record of a holder. It returns false if a newer one is known.
+func (b *Reservations) Set(holder string, r Record) bool {
 	if b.records == nil {
 		b.records = map[string]Record{}
 	}
 	old := b.records[holder]
+	if r.Sequence < old.Sequence {
+		return false
+	}
 	b.reserved += r.Reserved - old.Reserved
 	b.used += r.Used - old.Used
 	b.wanted += r.Want - old.Want
 	b.idle += r.idle() - old.idle()
 	b.records[holder] = r
+	return true
 }
 
+// Holders returns the holders with records, in no particular order.
+func (b *Reservations) Holders() iter.Seq[string] { return maps.Keys(b.records) }
+
 // Record returns the record of a holder.
 func (b *Reservations) Record(holder string) Record { return b.records[holder] }
 
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -116,6 +116,8 @@
 	ReservationTooSmall  = Event{423, Info, "reservation too small for a request"}
 	TokensDrawn          = Event{424, Info, "tokens drawn from other entry VMs"}
 	TokensHandedOver     = Event{425, Info, "unused tokens handed to another entry VM"}
+	ReservationsPutBack  = Event{426, Info, "reservations written again into a restored log"}
+	ReservingAgain       = Event{427, Info, "all entry VMs have put back their reservations, tokens are reserved again"}
 )
 
 // Load of the entry VM: 780 to 799.
@@ -141,7 +143,7 @@
 		ConfigActivated, ConfigFromPeer, ConfigRejected,
 		HolderClosed, HolderSealed, BillLineNotReplicated, BillLinesRecovered, PendingBillsFull, BudgetExhausted, DuplicateBill,
 		ReservationChanged, ReservationRecovered, ReservationFailed, ReservationTooSmall,
-		TokensDrawn, TokensHandedOver,
+		TokensDrawn, TokensHandedOver, ReservationsPutBack, ReservingAgain,
 		OrderOutcomeUnknown, OrderWithdrawn, ChangeStopped, ChangeTakenBack, ChangeDone, RolloutOrdered, RolloutNotWritten,
 		ServerCrashed, StreamResumed, StreamSuspended, RequestFailed, RequestQuarantined, MemoryFull, QuarantineEnded, CrashesNotPublished,
 		ServerUpdated, ServerRemoved, ServerPaused, ServerLimited, RequestEnded, RequestRefused, AttemptFailed, LogLinesDropped,
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,6 +73,7 @@
 		lp.follow = follower{
 			cfg: cfg, partition: keyed.Partition{Stream: keyed.Ledger, Number: i}, apply: lp.apply, snapshot: lp.snapshot,
 			onLogDown: func(time.Time) { lp.setLogDown(true) }, onLogUp: func(time.Time) { lp.setLogDown(false) },
+			onEra: lp.beginEra,
 		}
 		b.partitions = append(b.partitions, lp)
 	}
@@ -96,6 +98,34 @@
 	}
 }
 
+// checkEra makes all partitions look for a new era.
+func (b *budgetController) checkEra() {
+	for _, lp := range b.partitions {
+		lp.checkEra()
+	}
+}
+
+// isPuttingBack reports whether reservations are being put back into a restored log.
+func (b *budgetController) isPuttingBack() bool {
+	return slices.ContainsFunc(b.partitions, (*ledgerPartition).isPuttingBack)
+}
+
+// restoredEra is the latest era in which all partitions have had all the records that this entry VM knows, nil if it has
+// read none of some partition.
+func (b *budgetController) restoredEra() *keyed.Era {
+	var first *keyed.Era
+	for _, lp := range b.partitions {
+		era := lp.restoredEra()
+		if era == nil {
+			return nil
+		}
+		if first == nil || *era < *first {
+			first = era
+		}
+	}
+	return first
+}
+
 func (b *budgetController) isReady() bool {
 	for _, lp := range b.partitions {
 		if !lp.isReady() {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -62,6 +62,9 @@
 	Calls map[string]int `json:"calls,omitempty"`
 	// Evidence is what the sender has measured of open version changes.
 	Evidence []rollout.Evidence `json:"evidence,omitempty"`
+	// Restored is the latest era of the log in which the ledger has had all reservations that the sender knows. It is missing
+	// if the sender hasn't read the ledger yet.
+	Restored *keyed.Era `json:"restored,omitempty"`
 	// Limits are those that servers named to the sender lately, by incarnation.
 	Limits map[string]float64 `json:"limits,omitempty"`
 }
@@ -99,8 +102,9 @@
 	started time.Time
 	// servers has the limits to tell the others. It is set before loop.
 	servers *serverController
-	// rollouts has the evidence to tell the others. It is set before loop.
+	// rollouts has the evidence to tell the others, budgets what was put back into the ledger. They are set before loop.
 	rollouts *rolloutController
+	budgets  *budgetController
 	// announceNow requests an early heartbeat: another entry VM has started and needs this one's state, or this one stops.
 	announceNow chan struct{}
 
@@ -116,6 +120,8 @@
 	primaries map[string][]string
 	// loaded is set once the last heartbeats of the others were read; before that no primaries are chosen.
 	loaded bool
+	// restored holds the eras that the members have confirmed in heartbeats.
+	restored map[string]keyed.Era
 	// calls holds the calls that the other entry VMs had lately, by name and service.
 	calls map[string]map[string]int
 	// leaving is set when this entry VM stops.
@@ -130,7 +136,7 @@
 
 func newFleetController(cfg Config) *fleetController {
 	f := &fleetController{
-		cfg: cfg, members: map[string]time.Time{}, clockOffsets: map[string]time.Duration{}, calls: map[string]map[string]int{},
+		cfg: cfg, members: map[string]time.Time{}, restored: map[string]keyed.Era{}, clockOffsets: map[string]time.Duration{}, calls: map[string]map[string]int{},
 		started: cfg.Now(), announceNow: make(chan struct{}, 1), incarnations: map[string]string{},
 		addresses: map[string]netip.AddrPort{}, unreachableUntil: map[string]time.Time{},
 		zones: map[string]string{cfg.Name: cfg.Zone}, primaries: map[string][]string{},
@@ -155,6 +161,9 @@
 	if f.cfg.Now().Sub(f.started) < startupPeriod {
 		return startupReadInterval
 	}
+	if f.budgets.isPuttingBack() {
+		return max(startupReadInterval, time.Duration(f.count())*putBackIntervalPerVM)
+	}
 	return f.nextInterval(max(readInterval, time.Duration(f.count())*heartbeatIntervalPerVM/2))
 }
 
@@ -172,10 +181,13 @@
 	return max(evidenceInterval, time.Duration(f.count())*heartbeatIntervalPerVM)
 }
 
-// runAnnounce appends heartbeats until ctx ends. One that fails isn't retried, since the next one has the same content.
+// runAnnounce appends heartbeats until ctx ends. One that fails is retried only while others wait for it: the next one
+// has the same content.
 func (f *fleetController) runAnnounce(ctx context.Context) error {
 	for ctx.Err() == nil {
-		_ = f.announce(ctx)
+		if err := f.announce(ctx); err != nil && f.budgets.isPuttingBack() {
+			f.requestAnnounce()
+		}
 		pause(ctx, minHeartbeatInterval)
 		f.awaitNextHeartbeat(ctx)
 	}
@@ -202,7 +214,7 @@
 	value, err := json.Marshal(heartbeat{
 		Incarnation: f.cfg.Incarnation, Address: f.cfg.Address.String(), Zone: f.cfg.Zone,
 		Leaving: f.leaving.Load(), Time: f.cfg.Now().UnixMilli(), Limits: f.servers.ownLimits(f.count()), Calls: f.servers.calls(),
-		Evidence: f.rollouts.evidence(),
+		Evidence: f.rollouts.evidence(), Restored: f.budgets.restoredEra(),
 	})
 	if err != nil {
 		return eris.Wrap(err, "encode heartbeat")
@@ -256,6 +268,12 @@
 	defer f.mu.Unlock()
 	now := f.cfg.Now()
 	f.members[r.Key] = now
+	if h.Restored != nil {
+		f.restored[r.Key] = *h.Restored
+	} else if fresh {
+		// The sender has read nothing of the ledger before this era.
+		f.restored[r.Key] = f.follow.era
+	}
 	f.calls[r.Key] = h.Calls
 	if addr, err := netip.ParseAddrPort(h.Address); err == nil && r.Key != f.cfg.Name {
 		f.addresses[r.Key] = addr
@@ -273,12 +291,34 @@
 		return
 	}
 	f.incarnations[name] = incarnation
+	f.requestAnnounce()
+}
+
+// requestAnnounce requests an early heartbeat.
+func (f *fleetController) requestAnnounce() {
 	select {
 	case f.announceNow <- struct{}{}:
 	default:
 	}
 }
 
+// haveRestored reports whether all other live entry VMs have confirmed an era of the log.
+func (f *fleetController) haveRestored(era keyed.Era) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.loaded {
+		return false
+	}
+	now := f.cfg.Now()
+	for name, seen := range f.members {
+		restored, known := f.restored[name]
+		if name != f.cfg.Name && now.Sub(seen) < memberTimeout && (!known || restored < era) {
+			return false
+		}
+	}
+	return true
+}
+
 // count is the number of live entry VMs, this one included. It removes those whose heartbeats have stopped.
 func (f *fleetController) count() int {
 	f.mu.Lock()
@@ -293,6 +333,7 @@
 		default:
 			delete(f.calls, name)
 			delete(f.members, name)
+			delete(f.restored, name)
 			delete(f.clockOffsets, name)
 			delete(f.addresses, name)
 			f.dropZone(name)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -30,9 +30,10 @@
 	// snapshot gets the newest records of all keys. A key that isn't among them doesn't exist.
 	snapshot func(records []keyed.Record)
 	apply    func(r keyed.Record)
-	// onLogDown and onLogUp are called when the log becomes unavailable and available again, onRestored before the first
-	// snapshot of a log that was restored from a copy. They may be nil.
-	onLogDown, onLogUp, onRestored func(now time.Time)
+	// onLogDown and onLogUp are called when the log becomes unavailable and available again. They may be nil.
+	onLogDown, onLogUp func(now time.Time)
+	// onEra is called before the first snapshot of each era. restored is set if an earlier era was read. It may be nil.
+	onEra func(now time.Time, restored bool)
 
 	// next is the offset to read next in era.
 	next    uint64
@@ -119,7 +120,7 @@
 
 // setEra records the era of a snapshot.
 func (f *follower) setEra(era keyed.Era) {
-	if f.era == era {
+	if f.hasSnapshot && f.era == era {
 		return
 	}
 	old := f.era
@@ -128,9 +129,9 @@
 		fields := f.fields()
 		fields["era"], fields["oldEra"] = era, old
 		f.cfg.Events.Event(event.LogRestored, fields)
-		if f.onRestored != nil {
-			f.onRestored(f.cfg.Now())
-		}
+	}
+	if f.onEra != nil {
+		f.onEra(f.cfg.Now(), f.hasSnapshot)
 	}
 }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -351,6 +351,12 @@
 }
 
 func (f *fixture) start(name string) *Gateway {
+	g, _ := f.startStoppable(name)
+	return g
+}
+
+// startStoppable starts a gateway that stop ends as a crash would.
+func (f *fixture) startStoppable(name string) (g *Gateway, stop func()) {
 	cfg := Config{
 		Name: name, Incarnation: name + "-1", Zone: "z", Log: f.log, Decoder: jsonDecoder{}, Encoder: jsonDecoder{}, Backend: f.backend, Now: time.Now,
 		Events: apexlog.Discard(), Metrics: noMetrics{}, LedgerPartitions: 1,
@@ -359,22 +365,25 @@
 	if f.changeConfig != nil {
 		f.changeConfig(&cfg)
 	}
-	g := New(cfg)
+	g = New(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		_ = g.Run(ctx)
 	}()
-	f.c.Cleanup(func() { cancel(); <-done })
+	stop = func() { cancel(); <-done }
+	f.c.Cleanup(stop)
 	f.waitFor("ready", g.Ready)
-	return g
+	return g, stop
 }
 
-func (f *fixture) waitFor(what string, done func() bool) {
-	for deadline := time.Now().Add(5 * time.Second); !done(); time.Sleep(time.Millisecond) {
+func (f *fixture) waitFor(what string, done func() bool) { f.waitWithin(5*time.Second, what, done) }
+
+func (f *fixture) waitWithin(limit time.Duration, what string, done func() bool) {
+	for deadline := time.Now().Add(limit); !done(); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
-			f.c.Fatalf("no %s in 5 s", what)
+			f.c.Fatalf("no %s in %s", what, limit)
 		}
 	}
 }
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ibiswinch/core/escrow"
@@ -27,9 +28,18 @@
 	// accountsCreated is set once the accounts for the first configuration exist.
 	accountsCreated bool
 
+	// eraChanged is set when another stream was found restored from a copy, so that the partition must be read.
+	eraChanged atomic.Bool
+
 	mu sync.Mutex
 	// ready is set once the partition has been read.
 	ready bool
+	// putBack is what has to be written again after the log was restored from a copy. mayReserve is set while tokens may be
+	// reserved, restoreAnnounced once all was written again in the era.
+	putBack                      escrow.PutBack
+	mayReserve, restoreAnnounced bool
+	// lastRestoredEra is the last era in which all was written again, nil before the first.
+	lastRestoredEra *keyed.Era
 	// logDown is set while the log is unavailable.
 	logDown     bool
 	teamRecords map[string]*escrow.Reservations
@@ -67,7 +77,7 @@
 func (lp *ledgerPartition) account(team string) *escrow.Account {
 	a := lp.accounts[team]
 	if a == nil {
-		a = escrow.NewAccount(lp.budgets.cfg.Now(), lp.budgets.cfg.Name, lp.recordsOf(team).Record(lp.budgets.cfg.Name))
+		a = escrow.NewAccount(lp.budgets.cfg.Now(), lp.budgets.cfg.Name, lp.recordsOf(team).Record(lp.budgets.cfg.Name), uint64(lp.follow.era))
 		lp.accounts[team] = a
 		lp.recover(team, a)
 	}
@@ -81,6 +91,13 @@
 	if !inherited {
 		return
 	}
+	if record.Era != uint64(lp.follow.era) {
+		// Its newest record may be lost with the log of an earlier era.
+		if lp.mayReserve {
+			a.Forfeit()
+		}
+		return
+	}
 	age, known := lp.budgets.fleet.ageAtStart(time.UnixMilli(record.At))
 	if !known {
 		return
@@ -149,7 +166,7 @@
 		return false, lp.changed, true
 	}
 	empty := (lp.renewalsEnded > renewalsBefore || recent) && lp.recordsOf(team).Free(lp.limit(team))+max(a.Idle(), 0) < tokens
-	return false, lp.changed, lp.logDown || empty
+	return false, lp.changed, lp.logDown || !lp.mayReserve || empty
 }
 
 // isExhausted reports whether the recorded use leaves too few tokens for a call.
@@ -232,12 +249,21 @@
 
 func (lp *ledgerPartition) snapshot(records []keyed.Record) {
 	lp.mu.Lock()
+	defer lp.mu.Unlock()
+	listed := map[string]bool{}
 	for _, r := range records {
+		listed[r.Key] = true
 		lp.set(r)
 	}
+	for team, known := range lp.teamRecords {
+		for holder := range known.Holders() {
+			if key := ledgerKey(team, holder); !listed[key] {
+				lp.putBack.Observe(key, true)
+			}
+		}
+	}
 	lp.ready = true
 	lp.notifyWaiters()
-	lp.mu.Unlock()
 }
 
 func (lp *ledgerPartition) apply(r keyed.Record) {
@@ -254,5 +280,5 @@
 		lp.budgets.cfg.Events.Event(event.RecordSkipped, apexlog.Fields{"key": r.Key, "offset": r.Offset})
 		return
 	}
-	lp.recordsOf(team).Set(holder, record)
+	lp.putBack.Observe(r.Key, !lp.recordsOf(team).Set(holder, record))
 }
--- a/gateway/primaries.go
+++ b/gateway/primaries.go
@@ -88,10 +88,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.dropZone(f.cfg.Name)
-	select {
-	case f.announceNow <- struct{}{}:
-	default:
-	}
+	f.requestAnnounce()
 }
 
 // markUnreachable records that an entry VM didn't answer.
--- a/gateway/renew.go
+++ b/gateway/renew.go
@@ -32,6 +32,14 @@
 	return max(minWriteInterval, time.Duration(lp.writerCount())*writeIntervalPerVM)
 }
 
+// renewInterval is the time until the next renewal that no call waits for.
+func (lp *ledgerPartition) renewInterval() time.Duration {
+	if lp.isPuttingBack() {
+		return max(putBackInterval, time.Duration(lp.budgets.fleet.count())*putBackIntervalPerVM)
+	}
+	return lp.writeInterval()
+}
+
 // writerCount is the expected number of entry VMs that write to the partition: one for each of its teams and failure
 // domain.
 func (lp *ledgerPartition) writerCount() int {
@@ -49,7 +57,7 @@
 			lp.follow.handleError(err)
 			pause(ctx, retryPause)
 		}
-		interval := lp.writeInterval()
+		interval := lp.renewInterval()
 		timer := time.NewTimer(interval*9/10 + rand.N(interval/5))
 		select {
 		case <-ctx.Done():
@@ -77,7 +85,7 @@
 func (lp *ledgerPartition) renew(ctx context.Context) error {
 	lp.ioMu.Lock()
 	defer lp.ioMu.Unlock()
-	if lp.closed || lp.accountsCreated && !lp.needsWrite() {
+	if lp.closed || lp.accountsCreated && !lp.needsWrite() && !lp.isPuttingBack() && !lp.eraChanged.Load() {
 		return nil
 	}
 	defer lp.endRenewal()
@@ -86,11 +94,18 @@
 		if err := lp.follow.step(ctx); err != nil {
 			return err
 		}
+		if !lp.follow.started {
+			continue
+		}
+		lp.eraChanged.Store(false)
 		if !lp.accountsCreated {
 			lp.accountsCreated = lp.budgets.catalogs.now() != nil
 			lp.createAccounts()
 		}
 		lp.observe()
+		if mayReserve, err := lp.restore(ctx); err != nil || !mayReserve {
+			return err
+		}
 		plans := lp.plan()
 		if len(plans) == 0 {
 			return nil
@@ -163,15 +178,15 @@
 func (lp *ledgerPartition) append(ctx context.Context, plans []plan) error {
 	records := make([]keyed.Record, 0, len(plans))
 	for _, p := range plans {
-		value, err := json.Marshal(p.Record)
+		r, err := encodeReservation(p.team, lp.budgets.cfg.Name, p.Record)
 		if err != nil {
-			return eris.Wrap(err, "encode reservation")
+			return err
 		}
-		records = append(records, keyed.Record{Key: ledgerKey(p.team, lp.budgets.cfg.Name), Value: value})
+		records = append(records, r)
 	}
 	expected := lp.follow.next
 	lp.budgets.cfg.Metrics.CountAppend()
-	appended, err := lp.budgets.cfg.Log.Append(ctx, lp.follow.partition, records, &expected)
+	appended, err := lp.appendRecords(ctx, records, &expected)
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
 	if err != nil {
@@ -183,8 +198,7 @@
 	}
 	lp.follow.next = appended.End
 	for _, p := range plans {
-		lp.recordsOf(p.team).Set(lp.budgets.cfg.Name, p.Record)
-		lp.accounts[p.team].Observe(p.Record, appended.End)
+		lp.confirm(p, appended.End)
 		if p.Reason == escrow.Refresh {
 			continue
 		}
@@ -197,6 +211,21 @@
 	return nil
 }
 
+// confirm records that the log, which ends at end, has accepted a plan. The caller holds mu.
+func (lp *ledgerPartition) confirm(p plan, end uint64) {
+	lp.recordsOf(p.team).Set(lp.budgets.cfg.Name, p.Record)
+	lp.accounts[p.team].Observe(p.Record, end)
+	lp.putBack.Observe(ledgerKey(p.team, lp.budgets.cfg.Name), false)
+}
+
+func encodeReservation(team, holder string, r escrow.Record) (keyed.Record, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return keyed.Record{}, eris.Wrap(err, "encode reservation")
+	}
+	return keyed.Record{Key: ledgerKey(team, holder), Value: value}, nil
+}
+
 // observe tells the accounts which of their records the ledger holds.
 func (lp *ledgerPartition) observe() {
 	lp.mu.Lock()
@@ -219,6 +248,9 @@
 			pause(ctx, retryPause)
 			continue
 		}
+		if !lp.follow.started {
+			continue
+		}
 		lp.observe()
 		plans := lp.closingPlans()
 		if len(plans) == 0 {
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"ibiswinch/core/call"
+	"ibiswinch/core/escrow"
 	"ibiswinch/core/keyed"
 	"ibiswinch/core/placement"
 )
@@ -46,3 +48,75 @@
 	f.waitFor("draining server", func() bool { return f.isDraining("s-3") })
 	f.c.Assert(f.isDraining("s-1"), qt.IsFalse)
 }
+
+// spend sends calls of 4,000 tokens to the gateways in turn until none takes any, and returns the sum of the tokens.
+func (f *fixture) spend(limit int, gateways ...*Gateway) int64 {
+	sum := int64(0)
+	for refused := 0; refused < 3*len(gateways) && sum < int64(limit); {
+		for _, g := range gateways {
+			r := f.serveAt(g, &call.Call{Path: "/order/1", InputTokens: 4000})
+			if r.body == "ok" {
+				sum += 4000
+				refused = 0
+			} else {
+				refused++
+			}
+		}
+	}
+	return sum
+}
+
+// newRestoredFixture returns gateways of two entry VMs and servers that answer all calls.
+func newRestoredFixture(t *testing.T) (*fixture, *Gateway) {
+	f := newFixtureWith(t, func(cfg *Config) {
+		cfg.Backend = backendFunc(func() (Answer, error) { return &fakeAnswer{status: 200, body: "ok"}, nil })
+	})
+	return f, f.start("vm-2")
+}
+
+// TestRestoredLedgerForgetsReservations guards against tokens that are reserved a second time after the log was restored
+// from a copy that lacks the newest reservations.
+func TestRestoredLedgerForgetsReservations(t *testing.T) {
+	f, other := newRestoredFixture(t)
+	ends := f.log.ends()
+	sum := f.spend(60_000, f.gateway)
+	f.log.restore(ends, nil)
+	sum += f.spend(200_000, other)
+	f.c.Assert(sum <= 100_000, qt.IsTrue, qt.Commentf("%d tokens", sum))
+	f.waitFor("use of the rest", func() bool {
+		sum += f.spend(200_000, other, f.gateway)
+		return sum >= 88_000
+	})
+	f.c.Assert(sum <= 100_000, qt.IsTrue, qt.Commentf("%d tokens", sum))
+}
+
+// TestRestoredLedgerForgetsDeadHolder guards against tokens that are reserved a second time because the newest record of
+// a process that has ended is lost.
+func TestRestoredLedgerForgetsDeadHolder(t *testing.T) {
+	f, other := newRestoredFixture(t)
+	third, stop := f.startStoppable("vm-3")
+	ends := f.log.ends()
+	sum := f.spend(60_000, third)
+	f.waitFor("record of the third", func() bool {
+		other.budgets.partitions[0].wakeLoop()
+		return other.budgets.usedBy("team", "vm-3") >= 40_000
+	})
+	stop()
+	f.log.restore(ends, nil)
+	for range 2 {
+		sum += f.spend(200_000, other, f.gateway)
+		f.waitWithin(2*escrow.PutBackTimeout, "reserving again", func() bool { return !f.gateway.budgets.isPuttingBack() && !other.budgets.isPuttingBack() })
+	}
+	f.c.Assert(sum <= 100_000, qt.IsTrue, qt.Commentf("%d tokens", sum))
+	next := f.start("vm-3")
+	sum += f.spend(200_000, next, other, f.gateway)
+	f.c.Assert(sum <= 100_000, qt.IsTrue, qt.Commentf("%d tokens", sum))
+}
+
+// usedBy returns the charge that the ledger shows for a holder.
+func (b *budgetController) usedBy(team, holder string) int64 {
+	lp := b.partitionOf(team)
+	lp.mu.Lock()
+	defer lp.mu.Unlock()
+	return lp.recordsOf(team).Record(holder).Base
+}
