gateway, core/placement: a restored store doesn't bring back servers that have left

What callers would see: requests at servers that drain or are gone (DRAIN), for up to three heartbeats after the store came back from a copy in which they are still ready.

Cause: the newest record by offset was taken for the newest, although servers number their reports; the decoder dropped the number.

Evidence: TestRestoredLogListsServersThatLeft failed before: the draining server took calls again.

Fix: a record that is older than what is known of the same start of a server is ignored (event 724), also if the server has left within the last two minutes; so is, for 4 s after a restoration, that of an earlier start. Servers that are missing in the restored list get the same 2 s to write again as after an outage.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -98,14 +98,15 @@
 
 // Servers and requests of the gateway: 720 to 779.
 var (
-	ServerUpdated   = Event{720, Info, "backend server added or changed"}
-	ServerRemoved   = Event{721, Info, "backend server removed"}
-	ServerPaused    = Event{722, Info, "backend server paused"}
-	ServerLimited   = Event{723, Info, "backend server limits its requests"}
-	RequestEnded    = Event{730, Info, "request ended"}
-	RequestRefused  = Event{731, Info, "request refused"}
-	AttemptFailed   = Event{732, Info, "attempt failed"}
-	LogLinesDropped = Event{740, Warn, "log lines dropped"}
+	ServerUpdated    = Event{720, Info, "backend server added or changed"}
+	ServerRemoved    = Event{721, Info, "backend server removed"}
+	ServerPaused     = Event{722, Info, "backend server paused"}
+	ServerLimited    = Event{723, Info, "backend server limits its requests"}
+	OldServerIgnored = Event{724, Info, "outdated record of a backend server ignored"}
+	RequestEnded     = Event{730, Info, "request ended"}
+	RequestRefused   = Event{731, Info, "request refused"}
+	AttemptFailed    = Event{732, Info, "attempt failed"}
+	LogLinesDropped  = Event{740, Warn, "log lines dropped"}
 )
 
 // Token reservations: 420 to 439, within the range of budgets.
@@ -146,7 +147,7 @@
 		TokensDrawn, TokensHandedOver, ReservationsPutBack, ReservingAgain,
 		OrderOutcomeUnknown, OrderWithdrawn, ChangeStopped, ChangeTakenBack, ChangeDone, RolloutOrdered, RolloutNotWritten,
 		ServerCrashed, StreamResumed, StreamSuspended, RequestFailed, RequestQuarantined, MemoryFull, QuarantineEnded, CrashesNotPublished,
-		ServerUpdated, ServerRemoved, ServerPaused, ServerLimited, RequestEnded, RequestRefused, AttemptFailed, LogLinesDropped,
+		ServerUpdated, ServerRemoved, ServerPaused, ServerLimited, OldServerIgnored, RequestEnded, RequestRefused, AttemptFailed, LogLinesDropped,
 		OverloadChanged, UsageUnavailable,
 		PeerUnreachable, PeerRejected, PeerTimedOut,
 	}
--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -29,6 +29,14 @@
 	Draining bool
 	// Born is the start time of the server. It tells a restarted server from the earlier one with the same id.
 	Born time.Time
+	// Sequence rises with each report of the server; 0 if it isn't known.
+	Sequence uint64
+}
+
+// IsOlder reports whether a description is older than a known one of the same incarnation. A server that drains doesn't
+// take that back.
+func (s Server) IsOlder(known Server) bool {
+	return s.Born.Equal(known.Born) && (s.Sequence < known.Sequence || s.Sequence == known.Sequence && known.Draining && !s.Draining)
 }
 
 // Incarnation names the server from one start to its end.
@@ -198,6 +206,15 @@
 	return true
 }
 
+// Server returns the description of a server.
+func (t *Table) Server(id string) (Server, bool) {
+	s := t.servers[id]
+	if s == nil {
+		return Server{}, false
+	}
+	return s.Server, true
+}
+
 // IDs returns the ids of all servers, in no particular order.
 func (t *Table) IDs() []string {
 	ids := make([]string, 0, len(t.servers))
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -34,14 +34,15 @@
 	maxReadRecords uint64
 	// operationReads counts the reads of keyed.Operations.
 	operationReads int
-	// lastFrom is the offset of the last read of each stream.
-	lastFrom map[keyed.Stream]uint64
+	// lastFrom is the offset of the last read of each stream since its last snapshot, latestCalls the number of snapshots.
+	lastFrom    map[keyed.Stream]uint64
+	latestCalls map[keyed.Stream]int
 	// longestWaits holds the longest time that a read of each stream was to wait.
 	longestWaits map[keyed.Stream]time.Duration
 }
 
 func newMemoryLog() *memoryLog {
-	return &memoryLog{partitions: map[keyed.Partition][]keyed.Record{}, trimmed: map[keyed.Partition]uint64{}, longestWaits: map[keyed.Stream]time.Duration{}, lastFrom: map[keyed.Stream]uint64{}}
+	return &memoryLog{partitions: map[keyed.Partition][]keyed.Record{}, trimmed: map[keyed.Partition]uint64{}, longestWaits: map[keyed.Stream]time.Duration{}, lastFrom: map[keyed.Stream]uint64{}, latestCalls: map[keyed.Stream]int{}}
 }
 
 func (l *memoryLog) setDown(down bool) {
@@ -117,6 +118,8 @@
 func (l *memoryLog) Latest(_ context.Context, p keyed.Partition) (keyed.Batch, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.latestCalls[p.Stream]++
+	delete(l.lastFrom, p.Stream)
 	if l.down {
 		return keyed.Batch{}, keyed.ErrUnavailable
 	}
@@ -146,11 +149,19 @@
 	return ends
 }
 
-// readUpTo returns the offset of the last read of a stream.
-func (l *memoryLog) readUpTo(s keyed.Stream) uint64 {
+// drop deletes the records of a stream beyond the given ends.
+func (l *memoryLog) drop(stream keyed.Stream, ends map[keyed.Partition]int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.lastFrom[s]
+	p := keyed.Partition{Stream: stream}
+	l.partitions[p] = l.partitions[p][:ends[p]]
+}
+
+// hasRead reports whether the reader of a stream has loaded a number of snapshots and then read up to an offset.
+func (l *memoryLog) hasRead(s keyed.Stream, snapshots int, from uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.latestCalls[s] == snapshots && l.lastFrom[s] == from
 }
 
 // restore returns to the state with the given ends in the next era. The records of the operator and of the backend
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -43,7 +43,7 @@
 	for range 3 {
 		f.log.put(keyed.Servers, "s-1", testServer("s-1", false))
 	}
-	f.waitFor("read of all records", func() bool { return f.log.readUpTo(keyed.Servers) == 6 })
+	f.waitFor("read of all records", func() bool { return f.log.hasRead(keyed.Servers, 1, 6) })
 	f.log.restore(ends, map[keyed.Stream][]keyed.Record{keyed.Servers: {serverRecord(f.c, testServer("s-3", true))}})
 	f.waitFor("draining server", func() bool { return f.isDraining("s-3") })
 	f.c.Assert(f.isDraining("s-1"), qt.IsFalse)
@@ -120,3 +120,37 @@
 	defer lp.mu.Unlock()
 	return lp.recordsOf(team).Record(holder).Base
 }
+
+// TestRestoredLogListsServersThatLeft guards against calls to servers that drain or have left, which a log that was
+// restored from a copy lists as ready.
+func TestRestoredLogListsServersThatLeft(t *testing.T) {
+	f := newFixture(t)
+	report := func(id string, sequence uint64, draining bool) {
+		s := testServer(id, draining)
+		s.Sequence = sequence
+		f.log.put(keyed.Servers, id, s)
+	}
+	for _, id := range []string{"s-1", "s-2", "s-3"} {
+		report(id, 1, false)
+	}
+	f.waitFor("reports", func() bool { return f.log.hasRead(keyed.Servers, 1, 6) })
+	ends := f.log.ends()
+	report("s-2", 2, true)
+	f.log.put(keyed.Servers, "s-3", nil)
+	f.waitFor("change", func() bool { return f.isDraining("s-2") && !f.isListed("s-3") })
+	// The records of servers that have left aren't written again.
+	f.log.restore(ends, nil)
+	f.log.drop(keyed.Servers, ends)
+	f.waitFor("new era", func() bool { return f.log.hasRead(keyed.Servers, 2, 6) })
+	f.c.Assert(f.isDraining("s-2"), qt.IsTrue)
+	f.c.Assert(f.isListed("s-3"), qt.IsFalse)
+	report("s-3", 2, false)
+	f.waitFor("return of a server that was thought gone", func() bool { return f.isListed("s-3") })
+}
+
+func (f *fixture) isListed(id string) bool {
+	f.gateway.servers.mu.Lock()
+	defer f.gateway.servers.mu.Unlock()
+	_, found := f.gateway.servers.table.Server(id)
+	return found
+}
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -20,6 +21,11 @@
 	serverReadInterval = 250 * time.Millisecond
 	// missingGrace is how long servers whose records are missing are kept once the log is available again.
 	missingGrace = 2 * time.Second
+	// goneRetention is how long servers that have left are remembered. A log that is restored from a copy lists them again;
+	// copies are some seconds old.
+	goneRetention = 2 * time.Minute
+	// rewriteTime is how long after a restoration of the log records of before are written again.
+	rewriteTime = 4 * time.Second
 	// limitRetention is how long a limit holds after it was last named, besides the time for news to spread.
 	limitRetention = 10 * time.Second
 	// sharingInterval is the time between two divisions of limits.
@@ -50,17 +56,25 @@
 	logDown  bool
 	graceEnd time.Time
 	missing  map[string]bool
+	// gone are the last descriptions of servers that have left, by id. Until rewriteEnd old records may be written again.
+	gone       map[string]goneServer
+	rewriteEnd time.Time
+}
+
+type goneServer struct {
+	placement.Server
+	until time.Time
 }
 
 func newServerController(cfg Config, fleet fleet) *serverController {
 	s := &serverController{
 		cfg: cfg, fleet: fleet, table: placement.NewTable(cfg.Zone, cfg.Seed), retryBudgets: map[string]*retry.WindowBudget{},
-		missing: map[string]bool{}, nextSharing: map[string]time.Time{},
+		missing: map[string]bool{}, nextSharing: map[string]time.Time{}, gone: map[string]goneServer{},
 	}
 	s.follow = follower{
 		cfg: cfg, partition: keyed.Partition{Stream: keyed.Servers}, wait: func() time.Duration { return serverReadWait },
 		interval: func() time.Duration { return serverReadInterval },
-		apply:    s.apply, snapshot: s.snapshot, onLogDown: s.onLogDown, onLogUp: s.onLogUp,
+		apply:    s.apply, snapshot: s.snapshot, onLogDown: s.onLogDown, onLogUp: s.onLogUp, onEra: s.onEra,
 	}
 	return s
 }
@@ -86,6 +100,15 @@
 	s.graceEnd = now.Add(missingGrace)
 }
 
+// onEra gives servers time to write again what a restored log has lost.
+func (s *serverController) onEra(now time.Time, restored bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if restored {
+		s.graceEnd, s.rewriteEnd = now.Add(missingGrace), now.Add(rewriteTime)
+	}
+}
+
 func (s *serverController) apply(r keyed.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -123,7 +146,12 @@
 		s.remove(r.Key, "unreadable")
 		return
 	}
+	if s.isOutdated(server) {
+		s.cfg.Events.Event(event.OldServerIgnored, apexlog.Fields{"server": server.ID, "sequence": server.Sequence, "offset": r.Offset})
+		return
+	}
 	delete(s.missing, r.Key)
+	delete(s.gone, r.Key)
 	if s.table.SetServer(server) {
 		s.cfg.Events.Event(event.ServerUpdated, apexlog.Fields{
 			"server": server.ID, "service": server.Service, "version": server.Version, "draining": server.Draining,
@@ -132,6 +160,39 @@
 	}
 }
 
+// isOutdated reports whether a record says less than is known already, as those of a log that was restored from a copy. The
+// caller holds mu.
+func (s *serverController) isOutdated(server placement.Server) bool {
+	now := s.cfg.Now()
+	known, found := s.table.Server(server.ID)
+	left, isGone := s.gone[server.ID]
+	if isGone = isGone && now.Before(left.until); isGone {
+		known = left.Server
+	}
+	switch {
+	case !found && !isGone:
+		return false
+	case server.IsOlder(known):
+		return true
+	case !now.Before(s.rewriteEnd):
+		return false
+	}
+	// A server that has left, or restarted, since the copy is listed as it was then.
+	return server.Born.Before(known.Born) || isGone && server.Born.Equal(known.Born) && server.Sequence == known.Sequence
+}
+
+// forget removes a server from the table and remembers that it has left. The caller holds mu.
+func (s *serverController) forget(id, reason string) {
+	now := s.cfg.Now()
+	maps.DeleteFunc(s.gone, func(_ string, g goneServer) bool { return !now.Before(g.until) })
+	if known, found := s.table.Server(id); found {
+		s.gone[id] = goneServer{Server: known, until: now.Add(goneRetention)}
+	}
+	if s.table.RemoveServer(id) {
+		s.cfg.Events.Event(event.ServerRemoved, apexlog.Fields{"server": id, "reason": reason})
+	}
+}
+
 // remove removes a server. If its record may have expired because the log was unavailable, it is kept for the grace
 // period. The caller holds mu.
 func (s *serverController) remove(id, reason string) {
@@ -139,9 +200,7 @@
 		s.missing[id] = true
 		return
 	}
-	if s.table.RemoveServer(id) {
-		s.cfg.Events.Event(event.ServerRemoved, apexlog.Fields{"server": id, "reason": reason})
-	}
+	s.forget(id, reason)
 }
 
 // removeMissing removes servers that are still missing after the grace period. The caller holds mu.
@@ -150,8 +209,7 @@
 		return
 	}
 	for id := range s.missing {
-		s.table.RemoveServer(id)
-		s.cfg.Events.Event(event.ServerRemoved, apexlog.Fields{"server": id, "reason": "lapsed"})
+		s.forget(id, "lapsed")
 	}
 	clear(s.missing)
 }
