--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -235,10 +235,13 @@
 	}
 }
 
-// snapshot applies the last heartbeats of all entry VMs. They may be old, so they tell nothing about the clocks.
+// snapshot applies the last heartbeats of all entry VMs. They may be old, so they tell nothing about the clocks, and only
+// the first snapshot shows entry VMs that live.
 func (f *fleetController) snapshot(records []keyed.Record) {
 	for _, r := range records {
-		f.set(r, false)
+		if f.mayLive(r.Key) {
+			f.set(r, false)
+		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -246,6 +249,15 @@
 	clear(f.primaries)
 }
 
+// mayLive reports whether an entry VM may live that is listed in a snapshot. One that is already known to be gone is listed
+// for good.
+func (f *fleetController) mayLive(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, known := f.members[name]
+	return known || !f.loaded
+}
+
 func (f *fleetController) apply(r keyed.Record) { f.set(r, true) }
 
 // set applies one heartbeat. fresh is set if it was read soon after it was written, so that it tells the time of the
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/netip"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -11,6 +12,7 @@
 	"ibiswinch/core/escrow"
 	"ibiswinch/core/keyed"
 	"ibiswinch/core/placement"
+	"ibiswinch/io/apexlog"
 )
 
 func testServer(id string, draining bool) placement.Server {
@@ -154,3 +156,21 @@
 	_, found := f.gateway.servers.table.Server(id)
 	return found
 }
+
+// TestRestoredLogRevivesVMs guards against entry VMs that count as live again because the newest records are loaded anew:
+// everyone would wait for them.
+func TestRestoredLogRevivesVMs(t *testing.T) {
+	c := qt.New(t)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	cfg := Config{Name: "vm-1", Now: func() time.Time { return now }, Events: apexlog.Discard()}
+	f := newFleetController(cfg)
+	value, err := json.Marshal(heartbeat{Incarnation: "vm-2-1", Address: "127.0.0.1:1", Zone: "z", Time: now.UnixMilli()})
+	c.Assert(err, qt.IsNil)
+	records := []keyed.Record{{Key: "vm-2", Value: value}}
+	f.snapshot(records)
+	c.Assert(f.count(), qt.Equals, 2)
+	now = now.Add(2 * memberTimeout)
+	c.Assert(f.count(), qt.Equals, 1)
+	f.snapshot(records)
+	c.Assert(f.count(), qt.Equals, 1)
+}
