gateway: crashes are told again after the store was restored from a copy

Entry VMs that start after a restoration would let requests through that are known to crash servers (BUDGET, LOST): the records of these crashes are lost with the store's newest records. TestRestoredLogForgetsCrashes failed before: the record wasn't written again. Each entry VM that has something to tell publishes its record again in a new era.

--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -174,3 +174,14 @@
 	f.snapshot(records)
 	c.Assert(f.count(), qt.Equals, 1)
 }
+
+// TestRestoredLogForgetsCrashes guards against calls that crash servers again because the log has lost what an entry VM
+// had told the others.
+func TestRestoredLogForgetsCrashes(t *testing.T) {
+	f := newFixture(t, interrupted)
+	ends := f.log.ends()
+	f.post("/order/1")
+	f.waitFor("record of the crash", func() bool { return f.log.end(keyed.Crashes) > 0 })
+	f.log.restore(ends, nil)
+	f.waitFor("record written again", func() bool { return f.log.end(keyed.Crashes) > 0 })
+}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -56,7 +56,7 @@
 	}
 	s.follow = follower{
 		cfg: cfg, partition: keyed.Partition{Stream: keyed.Crashes}, wait: fleet.readWait,
-		interval: func() time.Duration { return crashReadInterval }, apply: s.set, snapshot: s.snapshot,
+		interval: func() time.Duration { return crashReadInterval }, apply: s.set, snapshot: s.snapshot, onEra: s.onEra,
 	}
 	return s
 }
@@ -123,6 +123,15 @@
 
 func newest[T any](list []T) []T { return list[max(len(list)-maxPublished, 0):] }
 
+// onEra publishes the own record again if the log may have lost it.
+func (s *suspectController) onEra(_ time.Time, restored bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if restored && len(s.own.Reports)+len(s.own.Cleared) > 0 {
+		s.requestPublish()
+	}
+}
+
 func (s *suspectController) snapshot(records []keyed.Record) {
 	for _, r := range records {
 		s.set(r)
