--- a/standin/keyedlog/keyedlog.go
+++ b/standin/keyedlog/keyedlog.go
@@ -1,5 +1,6 @@
 // Package keyedlog is a stand-in for the log store that package platform uses over HTTP: partitions of topics that
-// keep the newest record of each key. It holds everything in memory and injects the faults that tests ask for.
+// keep the newest record of each key. It holds everything in memory, injects the faults that tests ask for and can be
+// restored from a copy of earlier.
 package keyedlog
 
 import (
@@ -26,6 +27,35 @@
 	AnswerLost
 	// NoAnswer neither carries out the call nor answers.
 	NoAnswer
+	// Late closes the connection without an answer and carries out an append Timings.Late afterwards, if its condition
+	// holds then. Restore doesn't undo an append that is carried out after it.
+	Late
+	// Silent carries out the call and answers after Timings.Silence.
+	Silent
+)
+
+// Timings are the delays of the stand-in's own actions.
+type Timings struct {
+	// Rewrite is the time from Restore until the lost records of the operator and of the backend servers are appended
+	// again.
+	Rewrite time.Duration
+	// Late and Silence are the delays of the faults Late and Silent.
+	Late, Silence time.Duration
+}
+
+// defaultTimings are the delays of a new store.
+var defaultTimings = Timings{Rewrite: 500 * time.Millisecond, Late: time.Second, Silence: time.Second}
+
+const (
+	// eraHeader names the era of the store in all its answers. It rises by one at each Restore.
+	eraHeader = "Store-Era"
+	firstEra  = 1
+)
+
+// Topics of the operator and of the backend servers. Over HTTP they are read-only.
+const (
+	operatorTopic = "keyed.op"
+	serversTopic  = "keyed.servers"
 )
 
 // Limits of answers.
@@ -36,33 +66,21 @@
 	defaultMaxKilobytes = 1024
 )
 
-type record struct {
-	key   string
-	value []byte
-}
-
-type partition struct {
-	firstOffset uint64
-	records     []record
-	// newestRecords and newestOffsets hold the newest record of each key. DropHistory keeps them.
-	newestOffsets map[string]uint64
-	newestRecords map[string]record
-	// appended is closed and replaced at each append, for reads that wait.
-	appended chan struct{}
-}
-
-func (p *partition) end() uint64 { return p.firstOffset + uint64(len(p.records)) }
-
 // Server is the stand-in. Its zero value isn't usable; see New.
 type Server struct {
 	mu         sync.Mutex
-	partitions map[string]*partition
+	partitions map[partitionID]*partition
+	era        uint64
 	fault      func(method, path string) Fault
+	timings    Timings
 }
 
-// New returns an empty log store without faults.
+// New returns an empty log store without faults in its first era.
 func New() *Server {
-	return &Server{partitions: map[string]*partition{}, fault: func(string, string) Fault { return NoFault }}
+	return &Server{
+		partitions: map[partitionID]*partition{}, era: firstEra, timings: defaultTimings,
+		fault: func(string, string) Fault { return NoFault },
+	}
 }
 
 // SetFault sets the function that selects the fault of each further call.
@@ -72,12 +90,35 @@
 	s.fault = f
 }
 
+// SetTimings sets the delays of all further actions.
+func (s *Server) SetTimings(t Timings) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timings = t
+}
+
+// SetEra sets the era, as if the store had been restored before.
+func (s *Server) SetEra(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// Era returns the current era.
+func (s *Server) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Append appends one record to partition 0 of any topic. Over HTTP the topics of the operator and of the backend
 // servers are read-only.
 func (s *Server) Append(topic, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.partition(topic, "0").append([]record{{key: key, value: value}})
+	p := s.partition(partitionID{topic, "0"})
+	p.supersede(key)
+	p.append([]record{{key: key, value: value}}, time.Now())
 }
 
 // DropHistory deletes all records of a partition, as retention does. The newest record of each key stays readable
@@ -85,126 +126,157 @@
 func (s *Server) DropHistory(topic, part string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.partition(topic, part)
-	p.firstOffset, p.records = p.end(), nil
+	s.partition(partitionID{topic, part}).drop(time.Now())
 }
 
-func (s *Server) partition(topic, part string) *partition {
-	name := topic + "/" + part
-	p := s.partitions[name]
-	if p == nil {
-		p = &partition{newestOffsets: map[string]uint64{}, newestRecords: map[string]record{}, appended: make(chan struct{})}
-		s.partitions[name] = p
+// Restore returns all partitions to their state of age ago and begins the next era. Offsets of lost records are given
+// out again, and reads that wait beyond the new end are answered. The lost records of the operator and of the backend
+// servers are appended again after Timings.Rewrite, in their order and at new offsets. A record that an earlier Restore
+// lost doesn't come back, however old the copy.
+func (s *Server) Restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.era++
+	for id, p := range s.partitions {
+		lost := p.restore(now.Add(-age))
+		if id.topic == operatorTopic || id.topic == serversTopic {
+			p.queueRewrites(lost, now.Add(s.timings.Rewrite))
+		}
 	}
-	return p
+	time.AfterFunc(s.timings.Rewrite, s.rewrite)
 }
 
-func (p *partition) append(records []record) {
-	for _, r := range records {
-		if len(r.value) == 0 {
-			delete(p.newestOffsets, r.key)
-			delete(p.newestRecords, r.key)
-		} else {
-			p.newestOffsets[r.key], p.newestRecords[r.key] = p.end(), r
-		}
-		p.records = append(p.records, r)
+// rewrite appends the lost records that are due.
+func (s *Server) rewrite() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, p := range s.partitions {
+		p.rewrite(now)
+	}
+}
+
+func (s *Server) partition(id partitionID) *partition {
+	p := s.partitions[id]
+	if p == nil {
+		p = newPartition()
+		s.partitions[id] = p
 	}
-	close(p.appended)
-	p.appended = make(chan struct{})
+	return p
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
 	s.mu.Lock()
-	fault := s.fault(r.Method, r.URL.Path)
+	fault, timings := s.fault(r.Method, r.URL.Path), s.timings
 	s.mu.Unlock()
 	switch fault {
 	case Unavailable:
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		s.failure(http.StatusServiceUnavailable).write(w)
 	case NoAnswer:
 		<-r.Context().Done()
-		return
 	case AnswerLost:
-		s.serve(discardWriter{header: http.Header{}}, r)
+		s.serve(r, body)
+		panic(http.ErrAbortHandler)
+	case Late:
+		if r.URL.Path == appendPath {
+			time.AfterFunc(timings.Late, func() { s.serve(r, body) })
+		}
 		panic(http.ErrAbortHandler)
+	case Silent:
+		a := s.serve(r, body)
+		time.Sleep(timings.Silence)
+		a.write(w)
+	default:
+		s.serve(r, body).write(w)
 	}
-	s.serve(w, r)
 }
 
-func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+// Paths of the calls.
+const (
+	appendPath = "/v1/log-append"
+	readPath   = "/v1/log-read"
+	newestPath = "/v1/log-newest"
+)
+
+func (s *Server) serve(r *http.Request, body []byte) answer {
 	switch r.URL.Path {
-	case "/v1/log-append":
-		s.serveAppend(w, r)
-	case "/v1/log-read":
-		s.serveRead(w, r)
-	case "/v1/log-newest":
-		s.serveNewest(w, r)
+	case appendPath:
+		return s.serveAppend(r, body)
+	case readPath:
+		return s.serveRead(r)
+	case newestPath:
+		return s.serveNewest(r)
 	default:
-		w.WriteHeader(http.StatusNotFound)
+		return s.failure(http.StatusNotFound)
 	}
 }
 
-func (s *Server) serveAppend(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
+// failure returns an answer without a body.
+func (s *Server) failure(status int) answer { return answer{status: status, era: s.Era()} }
+
+func (s *Server) serveAppend(r *http.Request, body []byte) answer {
 	records, ok := decodeRecords(body)
-	topic := r.URL.Query().Get("topic")
-	if !ok || topic == "keyed.op" || topic == "keyed.servers" {
-		w.WriteHeader(http.StatusForbidden)
-		return
+	id := queriedPartition(r)
+	if !ok || id.topic == operatorTopic || id.topic == serversTopic {
+		return s.failure(http.StatusForbidden)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.partition(topic, r.URL.Query().Get("part"))
+	p := s.partition(id)
 	if at := r.URL.Query().Get("at"); at != "" && at != strconv.FormatUint(p.end(), 10) {
-		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"end_offset": p.end()})
-		return
+		return jsonAnswer(http.StatusPreconditionFailed, s.era, map[string]any{"end_offset": p.end()})
 	}
 	offset := p.end()
-	p.append(records)
-	writeJSON(w, http.StatusOK, map[string]any{"offset": offset, "end_offset": p.end()})
+	p.append(records, time.Now())
+	return jsonAnswer(http.StatusOK, s.era, map[string]any{"offset": offset, "end_offset": p.end()})
 }
 
-func (s *Server) serveRead(w http.ResponseWriter, r *http.Request) {
+func (s *Server) serveRead(r *http.Request) answer {
 	q := r.URL.Query()
 	from, err := strconv.ParseUint(q.Get("from"), 10, 64)
 	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
+		return s.failure(http.StatusBadRequest)
 	}
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
-	for {
-		s.mu.Lock()
-		p := s.partition(q.Get("topic"), q.Get("part"))
-		firstOffset, endOffset, appended := p.firstOffset, p.end(), p.appended
-		var records []record
-		if from >= firstOffset && from < endOffset {
-			records = slices.Clone(p.records[from-firstOffset:])
-		}
-		s.mu.Unlock()
-		switch {
-		case from < firstOffset:
-			writeJSON(w, http.StatusGone, map[string]any{"first_offset": firstOffset})
-			return
-		case len(records) > 0 || wait == 0:
-			_, _ = w.Write(encodePage(firstOffset, endOffset, truncateRecords(records, q.Get("max_kilobytes"))))
-			return
+	for expired := wait == 0; ; {
+		a, changed := s.tryRead(queriedPartition(r), from, q.Get("max_kilobytes"), expired)
+		if changed == nil {
+			return a
 		}
 		select {
-		case <-appended:
+		case <-changed:
 		case <-timer.C:
-			wait = 0
+			expired = true
 		case <-r.Context().Done():
-			return
+			return a
 		}
 	}
 }
 
+// tryRead answers a read. If there is nothing to read yet and empty is not set, it returns a channel that is closed at
+// the partition's next change instead.
+func (s *Server) tryRead(id partitionID, from uint64, maxKilobytes string, empty bool) (answer, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(id)
+	switch {
+	case from < p.firstOffset || from > p.end():
+		return jsonAnswer(http.StatusGone, s.era, map[string]any{"first_offset": p.firstOffset}), nil
+	case from == p.end() && !empty:
+		return answer{era: s.era}, p.changed
+	}
+	page := encodePage(p.firstOffset, p.end(), truncateRecords(p.records[from:], maxKilobytes))
+	return answer{status: http.StatusOK, era: s.era, body: page}, nil
+}
+
 // truncateRecords returns the leading records that fit the given size, at least one.
 func truncateRecords(records []record, maxKilobytes string) []record {
 	maxSize, err := strconv.Atoi(maxKilobytes)
@@ -221,14 +293,14 @@
 	return records
 }
 
-func (s *Server) serveNewest(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
+func (s *Server) serveNewest(r *http.Request) answer {
+	after := r.URL.Query().Get("after")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.partition(q.Get("topic"), q.Get("part"))
+	p := s.partition(queriedPartition(r))
 	var keys []string
-	for key := range p.newestRecords {
-		if key > q.Get("after") || q.Get("after") == "" {
+	for key := range p.newest {
+		if key > after || after == "" {
 			keys = append(keys, key)
 		}
 	}
@@ -236,17 +308,40 @@
 	hasMore := len(keys) > maxPageItems
 	items := []map[string]any{}
 	for _, key := range keys[:min(len(keys), maxPageItems)] {
-		items = append(items, map[string]any{
-			"key": key, "value": base64.StdEncoding.EncodeToString(p.newestRecords[key].value), "offset": p.newestOffsets[key],
-		})
+		offset := p.newest[key]
+		value := base64.StdEncoding.EncodeToString(p.records[offset].value)
+		items = append(items, map[string]any{"key": key, "value": value, "offset": offset})
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": hasMore, "end_offset": p.end()})
+	return jsonAnswer(http.StatusOK, s.era, map[string]any{"items": items, "has_more": hasMore, "end_offset": p.end()})
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+func queriedPartition(r *http.Request) partitionID {
+	q := r.URL.Query()
+	return partitionID{q.Get("topic"), q.Get("part")}
+}
+
+// answer is the answer to a call.
+type answer struct {
+	status int
+	// era is the era in which the call was carried out.
+	era         uint64
+	contentType string
+	body        []byte
+}
+
+func jsonAnswer(status int, era uint64, body map[string]any) answer {
+	// Maps of strings and numbers always encode.
+	encoded, _ := json.Marshal(body)
+	return answer{status: status, era: era, contentType: "application/json", body: encoded}
+}
+
+func (a answer) write(w http.ResponseWriter) {
+	w.Header().Set(eraHeader, strconv.FormatUint(a.era, 10))
+	if a.contentType != "" {
+		w.Header().Set("Content-Type", a.contentType)
+	}
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body)
 }
 
 // decodeRecords decodes the body of an append. A record is the length of what follows in 4 bytes, the length of the key
@@ -281,10 +376,3 @@
 	}
 	return out
 }
-
-// discardWriter is an http.ResponseWriter that drops the answer.
-type discardWriter struct{ header http.Header }
-
-func (d discardWriter) Header() http.Header       { return d.header }
-func (discardWriter) Write(b []byte) (int, error) { return len(b), nil }
-func (discardWriter) WriteHeader(int)             {}
