--- a/standin/keyedlog/keyedlog.go
+++ b/standin/keyedlog/keyedlog.go
@@ -247,8 +247,8 @@
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for expired := wait == 0; ; {
-		a, changed := s.tryRead(queriedPartition(r), from, q.Get("max_kilobytes"), expired)
-		if changed == nil {
+		a, changed := s.tryRead(queriedPartition(r), from, q.Get("max_kilobytes"))
+		if changed == nil || expired {
 			return a
 		}
 		select {
@@ -261,20 +261,21 @@
 	}
 }
 
-// tryRead answers a read. If there is nothing to read yet and empty is not set, it returns a channel that is closed at
-// the partition's next change instead.
-func (s *Server) tryRead(id partitionID, from uint64, maxKilobytes string, empty bool) (answer, <-chan struct{}) {
+// tryRead answers a read as of now. If there is nothing to read yet, it also returns a channel that is closed at the
+// partition's next change.
+func (s *Server) tryRead(id partitionID, from uint64, maxKilobytes string) (answer, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(id)
-	switch {
-	case from < p.firstOffset || from > p.end():
+	if from < p.firstOffset || from > p.end() {
 		return jsonAnswer(http.StatusGone, s.era, map[string]any{"first_offset": p.firstOffset}), nil
-	case from == p.end() && !empty:
-		return answer{era: s.era}, p.changed
 	}
 	page := encodePage(p.firstOffset, p.end(), truncateRecords(p.records[from:], maxKilobytes))
-	return answer{status: http.StatusOK, era: s.era, body: page}, nil
+	a := answer{status: http.StatusOK, era: s.era, body: page}
+	if from == p.end() {
+		return a, p.changed
+	}
+	return a, nil
 }
 
 // truncateRecords returns the leading records that fit the given size, at least one.
--- a/standin/keyedlog/keyedlog_test.go
+++ b/standin/keyedlog/keyedlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -283,6 +284,16 @@
 	})
 }
 
+// TestReadEndsWithItsCaller guards against a read that waits on, or panics, after its caller has left.
+func TestReadEndsWithItsCaller(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	recorder := httptest.NewRecorder()
+	New().ServeHTTP(recorder, httptest.NewRequestWithContext(ctx, http.MethodGet, readPath+"?topic=x&part=0&from=0&wait_ms=20000", nil))
+	c.Assert(values(c, recorder), qt.HasLen, 0)
+}
+
 // TestNoAnswerEndsWithItsCaller guards against a call with a body that goes on after its caller has left.
 func TestNoAnswerEndsWithItsCaller(t *testing.T) {
 	c := qt.New(t)
