soak: restored and silent stores, late appends, servers that are silent, leave, limit, refuse until a time or answer wrongly

Loss of an answer is excused only by a kill or pause of its own process and by faults of servers that break responses, no longer by any fault. New checks: a configuration that a process has served doesn't go back, a server that leaves gets no new requests, a time to retry at is kept, a request that was written whole is answered.

--- /dev/null
+++ b/soak/arrivals_test.go
@@ -0,0 +1,45 @@
+package soak
+
+import (
+	"sync"
+	"time"
+)
+
+// arrival is a request that reached a backend server and wasn't misdirected.
+type arrival struct {
+	id, instance string
+	at           time.Time
+	ran          bool
+	// retryAt is set if the request was refused with a time before which the server wants no further ones.
+	retryAt time.Time
+}
+
+// arrivalLog records the arrivals at all backend servers.
+type arrivalLog struct {
+	mu       sync.Mutex
+	arrivals []arrival
+}
+
+func (l *arrivalLog) add(a arrival) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrivals = append(l.arrivals, a)
+}
+
+// all returns the arrivals so far, in order.
+func (l *arrivalLog) all() []arrival {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.arrivals
+}
+
+// runs returns the number of runs of each request.
+func runs(arrivals []arrival) map[string]int {
+	count := map[string]int{}
+	for _, a := range arrivals {
+		if a.ran {
+			count[a.id]++
+		}
+	}
+	return count
+}
--- a/soak/backend_test.go
+++ b/soak/backend_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,77 +13,239 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"ibiswinch/standin/keyedlog"
 )
 
 const (
 	// eventTokens is the number of tokens of one stream event, eventGap the pause between two events.
 	eventTokens = 4
 	eventGap    = 12 * time.Millisecond
+	// endlessChunkBytes are written each endlessChunkInterval by an answer without end.
+	endlessChunkBytes    = 16 << 10
+	endlessChunkInterval = 5 * time.Millisecond
+	// shutdownTimeout bounds how long a backend server that leaves waits for its runs.
+	shutdownTimeout = 5 * time.Second
+	// repeatedRefusalPercent of the requests get a refusal that is written once more.
+	repeatedRefusalPercent = 30
 )
 
-// runCounter counts the runs of each request over all backend servers.
-type runCounter struct {
-	mu   sync.Mutex
-	runs map[string]int
-}
-
-func (c *runCounter) add(id string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.runs[id]++
-}
+// instanceHeader names the start of the backend server that answers.
+const instanceHeader = "Soak-Instance"
 
-func (c *runCounter) count(id string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.runs[id]
-}
+// States of a backend server's entry in the store.
+const (
+	stateReady    = "ready"
+	stateDraining = "draining"
+	// stateUnlisted is the state of a server without an entry.
+	stateUnlisted = ""
+)
 
 // backend is a backend server that speaks the platform's protocol.
 type backend struct {
-	id   string
-	runs *runCounter
-	// failing is the percentage of runs that fail. If refusing is set, every request is refused without a run.
-	failing  atomic.Int32
-	refusing atomic.Bool
+	id, listen string
+	// entryAddress is the address in the server's entry, that of its proxy.
+	entryAddress string
+	zone         string
+	arrivals     *arrivalLog
+
+	// failing is the percentage of runs that fail.
+	failing atomic.Int32
+	// While refusing is set, every request is refused without a run; with a retryAfter above 0, in milliseconds, the
+	// refusal names it.
+	refusing   atomic.Bool
+	retryAfter atomic.Int64
+	// limit is the number of requests a second that the server takes and names, 0 for no limit.
+	limit atomic.Int32
+	// failingResumed has resumed streams answered by an error, endless has bodies written without end, and
+	// repeatingRefusals has some refusals written once more on their connection.
+	failingResumed, endless, repeatingRefusals atomic.Bool
+	// leaving has the server announce in its answers that it leaves.
+	leaving atomic.Bool
+	// silentUntil is the Unix millisecond until which the server sends nothing.
+	silentUntil atomic.Int64
+	// born is the Unix millisecond of the server's start.
+	born atomic.Int64
+
+	mu       sync.Mutex
 	server   *http.Server
+	state    string
+	sequence int
+	// second and taken count the requests of the current second, for limit.
+	second int64
+	taken  int32
 }
 
-func startBackend(id, listen string, runs *runCounter) (*backend, error) {
-	listener, err := net.Listen("tcp4", listen)
+// start starts the server as a new instance.
+func (b *backend) start() error {
+	listener, err := net.Listen("tcp4", b.listen)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	server := &http.Server{Handler: b}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.server, b.state, b.sequence = server, stateReady, 0
+	b.born.Store(time.Now().UnixMilli())
+	b.leaving.Store(false)
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// shutdown ends the server after its runs.
+func (b *backend) shutdown() {
+	b.mu.Lock()
+	server := b.server
+	b.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	_ = server.Shutdown(ctx)
+	_ = server.Close()
+}
+
+func (b *backend) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_ = b.server.Close()
+}
+
+// instance names the current start of the server.
+func (b *backend) instance() string { return fmt.Sprintf("%s/%d", b.id, b.born.Load()) }
+
+// setState changes the state of the server's entry and writes it.
+func (b *backend) setState(store *keyedlog.Server, state string) {
+	b.mu.Lock()
+	b.state = state
+	b.mu.Unlock()
+	if state == stateUnlisted {
+		store.Append("keyed.servers", b.id, nil)
+		return
+	}
+	b.writeEntry(store)
+}
+
+// writeEntry writes the server's entry in the store, unless it is unlisted.
+func (b *backend) writeEntry(store *keyedlog.Server) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.state == stateUnlisted {
+		return
 	}
-	b := &backend{id: id, runs: runs}
-	b.server = &http.Server{Handler: b}
-	go func() { _ = b.server.Serve(listener) }()
-	return b, nil
+	b.sequence++
+	value, _ := json.Marshal(map[string]any{
+		"service": "s", "address": b.entryAddress, "zone": b.zone, "version": "v1", "slots": 64, "state": b.state,
+		"sequence": b.sequence, "born": b.born.Load(),
+	})
+	store.Append("keyed.servers", b.id, value)
 }
 
 // ServeHTTP implements http.Handler.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
-	w.Header().Set("Request-Id", id)
 	_, _ = io.Copy(io.Discard, r.Body)
+	b.waitSilence()
+	b.setHeaders(w.Header(), id)
 	if want := r.Header.Get("Expected-Instance"); want != "" && want != b.id {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if b.refusing.Load() {
+	switch {
+	case b.refusing.Load():
+		b.refuse(w, id)
+	case !b.takeToken():
+		b.arrivals.add(arrival{id: id, instance: b.instance(), at: time.Now()})
 		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		w.WriteHeader(http.StatusTooManyRequests)
+	case b.repeatingRefusals.Load() && rand.IntN(100) < repeatedRefusalPercent:
+		b.refuseTwice(w, id)
+	default:
+		b.run(w, r, id)
+	}
+}
+
+func (b *backend) setHeaders(h http.Header, id string) {
+	h.Set("Request-Id", id)
+	h.Set(instanceHeader, b.instance())
+	if b.leaving.Load() {
+		h.Set("Server-Leaving", "1")
+	}
+	if limit := b.limit.Load(); limit > 0 {
+		h.Set("Server-Limit", strconv.Itoa(int(limit)))
+	}
+}
+
+func (b *backend) waitSilence() { time.Sleep(time.Until(time.UnixMilli(b.silentUntil.Load()))) }
+
+// takeToken reports whether the limit allows another request in this second.
+func (b *backend) takeToken() bool {
+	limit := b.limit.Load()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now := time.Now().Unix(); now != b.second {
+		b.second, b.taken = now, 0
+	}
+	b.taken++
+	return limit == 0 || b.taken <= limit
+}
+
+func (b *backend) refuse(w http.ResponseWriter, id string) {
+	a := arrival{id: id, instance: b.instance(), at: time.Now()}
+	w.Header().Set("Not-Executed", "1")
+	if wait := b.retryAfter.Load(); wait > 0 {
+		a.retryAt = a.at.Add(time.Duration(wait) * time.Millisecond)
+		w.Header().Set("Retry-After", strconv.FormatFloat(float64(wait)/1000, 'f', 3, 64))
+	}
+	b.arrivals.add(a)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// refuseTwice refuses a request, and writes the refusal once more where the response to the next request on the
+// connection is due. The next request is treated as any other, and its response follows.
+func (b *backend) refuseTwice(w http.ResponseWriter, id string) {
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	b.arrivals.add(arrival{id: id, instance: b.instance(), at: time.Now()})
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	if _, err := io.WriteString(conn, refusal); err != nil {
+		return
+	}
+	next, err := http.ReadRequest(buffer.Reader)
+	if err != nil {
+		return
+	}
+	if _, err := io.WriteString(conn, refusal); err != nil {
 		return
 	}
-	b.runs.add(id)
+	raw := newRawWriter(conn)
+	nextID := next.Header.Get("Request-Id")
+	_, _ = io.Copy(io.Discard, next.Body)
+	b.setHeaders(raw.Header(), nextID)
+	b.run(raw, next, nextID)
+	raw.finish()
+}
+
+// run runs a request.
+func (b *backend) run(w http.ResponseWriter, r *http.Request, id string) {
+	b.arrivals.add(arrival{id: id, instance: b.instance(), at: time.Now(), ran: true})
 	w.Header().Set("Response-Seal", "seal-"+id)
 	time.Sleep(time.Duration(3+rand.IntN(15)) * time.Millisecond)
+	b.waitSilence()
 	failed := rand.Int32N(100) < b.failing.Load()
+	if r.Header.Get("Last-Event-Id") != "" && b.failingResumed.Load() {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if counts := r.Header.Get("Token-Counts"); counts != "" {
 		b.stream(w, r, counts, failed)
 		return
 	}
 	switch {
+	case b.endless.Load():
+		writeEndlessly(w)
 	case failed && rand.IntN(2) == 0:
 		w.WriteHeader(http.StatusInternalServerError)
 	case failed:
@@ -101,6 +265,7 @@
 		if failed && i == 3 {
 			panic(http.ErrAbortHandler)
 		}
+		b.waitSilence()
 		fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i, r.Header.Get("Request-Id"), i)
 		if http.NewResponseController(w).Flush() != nil {
 			return
@@ -108,3 +273,14 @@
 		time.Sleep(eventGap)
 	}
 }
+
+// writeEndlessly writes a body until its reader closes the connection.
+func writeEndlessly(w io.Writer) {
+	chunk := []byte(strings.Repeat("x", endlessChunkBytes))
+	for {
+		if _, err := w.Write(chunk); err != nil {
+			return
+		}
+		time.Sleep(endlessChunkInterval)
+	}
+}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -26,6 +26,11 @@
 	serverPort   = 8300
 	// entryInterval is the interval at which each backend server writes its entry in the server list.
 	entryInterval = 600 * time.Millisecond
+	// storeSilence is how late a silent store answers.
+	storeSilence = time.Second
+	// initialPrepaid is the number of tokens of each team at first, topUp what a new configuration adds for one team.
+	initialPrepaid = 40_000
+	topUp          = 5_000
 )
 
 // teams are the tenants, each with its own API key. Their prepaid tokens are so few that they run out during a run.
@@ -45,6 +50,10 @@
 	exited       chan struct{}
 	// restarting is 1 while the process is being stopped and started again.
 	restarting atomic.Int64
+	// starts counts the starts of the process.
+	starts atomic.Int64
+	// disturbances are the kills and pauses of the process.
+	disturbances disturbances
 }
 
 // fleet is all that runs for one seed: the platform's store, the backend servers and the entry VMs.
@@ -53,16 +62,31 @@
 	dir           string
 	binary        string
 	store         *keyedlog.Server
+	storeFaults   storeFaults
+	storeTimings  storeTimings
 	storeServer   *http.Server
 	vms           []*vm
 	backends      []*backend
 	serverProxies []*proxy
-	runs          *runCounter
-	version       int64
-	prepaid       map[string]int64
-	started       time.Time
-	done          chan struct{}
-	wg            sync.WaitGroup
+	arrivals      *arrivalLog
+	// serverDisturbances are the faults of backend servers that break responses, and those of the links to them.
+	serverDisturbances disturbances
+	// configurations is the number of configurations published. Each adds a route.
+	configurations atomic.Int64
+	prepaid        map[string]int64
+	topUps         []prepaidChange
+	// storeReady is when the first configuration and the first server entries were written. Copies of the store are not
+	// older.
+	storeReady time.Time
+	done       chan struct{}
+	wg         sync.WaitGroup
+}
+
+// prepaidChange is a new prepaid total of a team.
+type prepaidChange struct {
+	at    time.Time
+	team  string
+	total int64
 }
 
 // ip returns the loopback address of endpoint i of a kind: 1 store, 2 backend server, 3 proxy from an entry VM to the
@@ -71,11 +95,13 @@
 
 func startFleet(binary, dir string, network int) (*fleet, error) {
 	f := &fleet{
-		network: network, dir: dir, binary: binary, store: keyedlog.New(), runs: &runCounter{runs: map[string]int{}},
-		prepaid: map[string]int64{}, started: time.Now(), done: make(chan struct{}),
+		network: network, dir: dir, binary: binary, store: keyedlog.New(), arrivals: &arrivalLog{}, prepaid: map[string]int64{},
+		done: make(chan struct{}),
 	}
+	f.store.SetFault(f.storeFaults.choose)
+	f.setTimings(func(t *keyedlog.Timings) { t.Silence = storeSilence })
 	for _, t := range teams {
-		f.prepaid[t] = 60_000
+		f.addPrepaid(t, initialPrepaid)
 	}
 	f.publish()
 	listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", f.ip(1, 0), storePort))
@@ -89,6 +115,7 @@
 			return nil, err
 		}
 	}
+	f.storeReady = time.Now()
 	f.wg.Go(f.writeServerEntries)
 	for i := range vmCount {
 		if err := f.addVM(i, listener.Addr().String()); err != nil {
@@ -99,13 +126,20 @@
 }
 
 func (f *fleet) addBackend(i int) error {
-	b, err := startBackend(fmt.Sprintf("i-%d", i), fmt.Sprintf("%s:%d", f.ip(2, i), serverPort), f.runs)
+	b := &backend{
+		id: fmt.Sprintf("i-%d", i), listen: fmt.Sprintf("%s:%d", f.ip(2, i), serverPort), zone: fmt.Sprintf("zone-%d", i%2),
+		entryAddress: fmt.Sprintf("%s:%d", f.ip(4, i), serverPort), arrivals: f.arrivals,
+	}
+	if err := b.start(); err != nil {
+		return err
+	}
+	p, err := newProxy(b.entryAddress, b.listen)
 	if err != nil {
 		return err
 	}
-	p, err := newProxy(fmt.Sprintf("%s:%d", f.ip(4, i), serverPort), fmt.Sprintf("%s:%d", f.ip(2, i), serverPort))
 	f.backends, f.serverProxies = append(f.backends, b), append(f.serverProxies, p)
-	return err
+	b.writeEntry(f.store)
+	return nil
 }
 
 func (f *fleet) addVM(i int, store string) error {
@@ -156,6 +190,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	v.starts.Add(1)
 	exited := make(chan struct{})
 	v.cmd, v.exited = cmd, exited
 	go func() { _ = cmd.Wait(); close(exited) }()
@@ -194,44 +229,61 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// addPrepaid raises the prepaid tokens of a team in the next configuration.
+func (f *fleet) addPrepaid(team string, tokens int64) {
+	f.prepaid[team] += tokens
+	f.topUps = append(f.topUps, prepaidChange{at: time.Now(), team: team, total: f.prepaid[team]})
+}
+
+// probePrefix is the path prefix of the route that a configuration adds.
+func probePrefix(configuration int64) string { return fmt.Sprintf("/v%d/", configuration) }
+
+// versionStep is the difference between the versions of two configurations.
+const versionStep = 3
+
 // publish writes the next configuration.
 func (f *fleet) publish() {
-	f.version += 3
-	routes := []map[string]any{}
-	for _, r := range []struct {
-		prefix, kind string
-		attempts     int
-		resume       bool
-	}{{"/read/", "safe", 2, false}, {"/order/", "unsafe", 1, false}, {"/chat/", "streaming", 2, true}, {"/draft/", "streaming", 1, false}} {
-		routes = append(routes, map[string]any{
-			"name": "r" + r.prefix, "host": "soak.example", "path_prefix": r.prefix, "kind": r.kind, "timeout_ms": 4000,
-			"target_latency_ms": 500, "priority": 1, "service": "s", "attempts": r.attempts, "stream_resumption": r.resume,
-		})
-	}
+	number := f.configurations.Load() + 1
 	list := []map[string]any{}
 	for _, t := range teams {
 		list = append(list, map[string]any{"name": t, "api_keys": []string{apiKey(t)}, "prepaid": f.prepaid[t]})
 	}
 	value, _ := json.Marshal(map[string]any{
-		"version": f.version, "routes": routes, "tenants": list,
+		"version": number * versionStep, "routes": routes(number), "tenants": list,
 		"services": []map[string]any{{"name": "s", "health_path": "/health", "connection_limit": 500,
 			"engine": map[string]any{"slots": 64, "kv_cache_tokens": 100000, "stride": eventTokens}}},
 		"limits": map[string]any{"header_bytes": 16384, "body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	f.store.Append("keyed.op", "config", value)
+	f.configurations.Store(number)
+}
+
+// routes returns the routes of a configuration: four that stay and one for each configuration so far.
+func routes(configuration int64) []map[string]any {
+	list := []map[string]any{
+		route("/read/", "safe", 2, false), route("/order/", "unsafe", 1, false),
+		route("/chat/", "streaming", 2, true), route("/draft/", "streaming", 1, false),
+	}
+	for i := range configuration {
+		list = append(list, route(probePrefix(i+1), "safe", 2, false))
+	}
+	return list
+}
+
+func route(prefix, kind string, attempts int, resumable bool) map[string]any {
+	return map[string]any{
+		"name": "r" + prefix, "host": "soak.example", "path_prefix": prefix, "kind": kind, "timeout_ms": 4000,
+		"target_latency_ms": 500, "priority": 1, "service": "s", "attempts": attempts, "stream_resumption": resumable,
+	}
 }
 
 // writeServerEntries writes the entries of the backend servers periodically.
 func (f *fleet) writeServerEntries() {
 	ticker := time.NewTicker(entryInterval)
 	defer ticker.Stop()
-	for n := 1; ; n++ {
-		for i, b := range f.backends {
-			value, _ := json.Marshal(map[string]any{
-				"service": "s", "address": f.serverProxies[i].addr(), "zone": fmt.Sprintf("zone-%d", i%2), "version": "v1", "slots": 64,
-				"state": "ready", "sequence": n, "born": f.started.UnixMilli(),
-			})
-			f.store.Append("keyed.servers", b.id, value)
+	for {
+		for _, b := range f.backends {
+			b.writeEntry(f.store)
 		}
 		select {
 		case <-f.done:
@@ -253,7 +305,7 @@
 	}
 	for i, b := range f.backends {
 		f.serverProxies[i].close()
-		_ = b.server.Close()
+		b.close()
 	}
 	_ = f.storeServer.Close()
 	f.wg.Wait()
