--- a/soak/arrivals_test.go
+++ b/soak/arrivals_test.go
@@ -7,9 +7,12 @@
 
 // arrival is a request that reached a backend server and wasn't misdirected.
 type arrival struct {
-	id, instance string
-	at           time.Time
-	ran          bool
+	id      string
+	backend *backend
+	// instance is the start of the backend server.
+	instance string
+	at       time.Time
+	ran      bool
 	// retryAt is set if the request was refused with a time before which the server wants no further ones.
 	retryAt time.Time
 }
@@ -33,13 +36,21 @@
 	return l.arrivals
 }
 
-// runs returns the number of runs of each request.
-func runs(arrivals []arrival) map[string]int {
-	count := map[string]int{}
+// arrivalsByID returns the arrivals of each request, in order.
+func (l *arrivalLog) arrivalsByID() map[string][]arrival {
+	byID := map[string][]arrival{}
+	for _, a := range l.all() {
+		byID[a.id] = append(byID[a.id], a)
+	}
+	return byID
+}
+
+func countRuns(arrivals []arrival) int {
+	n := 0
 	for _, a := range arrivals {
 		if a.ran {
-			count[a.id]++
+			n++
 		}
 	}
-	return count
+	return n
 }
--- a/soak/backend_test.go
+++ b/soak/backend_test.go
@@ -48,6 +48,8 @@
 	entryAddress string
 	zone         string
 	arrivals     *arrivalLog
+	// disturbances are the faults of the server, and of the link to it, that break responses.
+	disturbances disturbances
 
 	// failing is the percentage of runs that fail.
 	failing atomic.Int32
@@ -112,6 +114,11 @@
 // instance names the current start of the server.
 func (b *backend) instance() string { return fmt.Sprintf("%s/%d", b.id, b.born.Load()) }
 
+// arrival returns the arrival of a request now.
+func (b *backend) arrival(id string) arrival {
+	return arrival{id: id, backend: b, instance: b.instance(), at: time.Now()}
+}
+
 // setState changes the state of the server's entry and writes it.
 func (b *backend) setState(store *keyedlog.Server, state string) {
 	b.mu.Lock()
@@ -154,7 +161,7 @@
 	case b.refusing.Load():
 		b.refuse(w, id)
 	case !b.takeToken():
-		b.arrivals.add(arrival{id: id, instance: b.instance(), at: time.Now()})
+		b.arrivals.add(b.arrival(id))
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusTooManyRequests)
 	case b.repeatingRefusals.Load() && rand.IntN(100) < repeatedRefusalPercent:
@@ -190,7 +197,7 @@
 }
 
 func (b *backend) refuse(w http.ResponseWriter, id string) {
-	a := arrival{id: id, instance: b.instance(), at: time.Now()}
+	a := b.arrival(id)
 	w.Header().Set("Not-Executed", "1")
 	if wait := b.retryAfter.Load(); wait > 0 {
 		a.retryAt = a.at.Add(time.Duration(wait) * time.Millisecond)
@@ -208,7 +215,7 @@
 		return
 	}
 	defer conn.Close()
-	b.arrivals.add(arrival{id: id, instance: b.instance(), at: time.Now()})
+	b.arrivals.add(b.arrival(id))
 	refusal := "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 	if _, err := io.WriteString(conn, refusal); err != nil {
 		return
@@ -230,7 +237,9 @@
 
 // run runs a request.
 func (b *backend) run(w http.ResponseWriter, r *http.Request, id string) {
-	b.arrivals.add(arrival{id: id, instance: b.instance(), at: time.Now(), ran: true})
+	a := b.arrival(id)
+	a.ran = true
+	b.arrivals.add(a)
 	w.Header().Set("Response-Seal", "seal-"+id)
 	time.Sleep(time.Duration(3+rand.IntN(15)) * time.Millisecond)
 	b.waitSilence()
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -37,11 +37,8 @@
 	leaving string
 }
 
-// undisturbed reports whether no fault was active that excuses a lost answer: planned stops, faults of the store and
-// silence of a backend server don't.
-func (r *result) undisturbed(f *fleet) bool {
-	return !r.vm.disturbances.between(r.sentAt, r.endedAt) && !f.serverDisturbances.between(r.sentAt, r.endedAt)
-}
+// undisturbed reports whether the process that got the request was not killed or paused.
+func (r *result) undisturbed() bool { return !r.vm.disturbances.between(r.sentAt, r.endedAt) }
 
 // caller sends requests one after the other. It keeps its connection to an entry VM until a request fails.
 type caller struct {
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -71,21 +71,17 @@
 	rec.mu.Lock()
 	results := rec.results
 	rec.mu.Unlock()
-	arrivals := rec.fleet.arrivals.all()
-	count := runs(arrivals)
+	arrivals := rec.fleet.arrivals.arrivalsByID()
 	for _, r := range results {
-		rec.checkResult(r, count[r.id])
-		rec.checkLost(r, count[r.id])
-		rec.checkProbe(r, after)
+		rec.checkResult(r, countRuns(arrivals[r.id]))
+		rec.checkLost(r, arrivals[r.id])
+		rec.checkProbe(r)
 	}
+	rec.checkNewest(results, after)
 	rec.checkBudgets(results)
 	rec.checkRecovery(results, after)
-	byID := map[string]*result{}
-	for _, r := range results {
-		byID[r.id] = r
-	}
-	rec.checkDrained(byID, arrivals)
-	rec.checkRetryTimes(byID, arrivals)
+	rec.checkDrained(results, arrivals)
+	rec.checkRetryTimes(results, arrivals)
 }
 
 func (rec *recorder) checkResult(r *result, runs int) {
@@ -102,34 +98,51 @@
 	}
 }
 
-// checkLost checks that the connection of a request didn't end without a whole answer.
-func (rec *recorder) checkLost(r *result, runs int) {
-	unanswered := r.err != "" && !r.writtenAt.IsZero() && r.endedAt.Sub(r.writtenAt) > lossSlack
-	cut := r.status == 200 && !r.complete
-	if !unanswered && !cut && (r.err == "" || runs == 0) || !r.undisturbed(rec.fleet) {
-		return
-	}
+// checkLost checks that the connection of a request didn't end without a whole answer. Planned stops, faults of the
+// store and silence of a backend server excuse nothing. A server that fails excuses a stream that is cut, but not a
+// request without an answer.
+func (rec *recorder) checkLost(r *result, arrivals []arrival) {
+	ran := countRuns(arrivals) > 0
+	unread := !ran && (r.writtenAt.IsZero() || r.endedAt.Sub(r.writtenAt) <= lossSlack)
 	switch {
-	case runs > 0 && !cut:
-		rec.problem("LOST: request %s (%s) ran and its connection to %s ended without an answer: %s", r.id, r.route, r.vm.name, r.err)
-	case cut:
+	case !r.undisturbed():
+	case r.err != "" && !unread:
+		rec.problem("LOST: request %s (%s, ran: %t) is unanswered, its connection to %s ended: %s", r.id, r.route, ran, r.vm.name, r.err)
+	case r.status == 200 && !r.complete && !rec.serverFailed(r, arrivals):
 		rec.problem("LOST: request %s (%s) to %s was cut after %d events", r.id, r.route, r.vm.name, r.events)
-	default:
-		rec.problem("LOST: request %s (%s) to %s did not run and its connection ended without an answer: %s", r.id, r.route, r.vm.name, r.err)
 	}
 }
 
-// checkProbe checks that a process that has served a configuration doesn't go back to an older one, and that none
-// lacks one of the configurations later than after.
-func (rec *recorder) checkProbe(r *result, after time.Time) {
-	switch {
-	case r.route != "probe" || r.status != 404:
-	case r.start > 0 && r.served >= r.configuration:
+// serverFailed reports whether a fault was active that breaks responses, at a backend server that the request reached.
+// A stream that is resumed may have lost a further attempt on the way to any server.
+func (rec *recorder) serverFailed(r *result, arrivals []arrival) bool {
+	for _, b := range rec.fleet.backends {
+		reached := slices.ContainsFunc(arrivals, func(a arrival) bool { return a.backend == b })
+		if (reached || r.route == "chat") && b.disturbances.between(r.sentAt, r.endedAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkProbe checks that a process that has served a configuration doesn't go back to an older one.
+func (rec *recorder) checkProbe(r *result) {
+	if r.route == "probe" && r.status == 404 && r.start > 0 && r.served >= r.configuration {
 		rec.problem("CONFIG: request %s got 404 on the route of configuration %d from %s, which had served configuration %d",
 			r.id, r.configuration, r.vm.name, r.served)
-	case r.sentAt.After(after):
-		rec.problem("CONFIG: request %s got 404 on the route of configuration %d from %s after all faults",
-			r.id, r.configuration, r.vm.name)
+	}
+}
+
+// checkNewest checks that no process lacks one of the configurations later than after.
+func (rec *recorder) checkNewest(results []*result, after time.Time) {
+	lacking := map[string]int{}
+	for _, r := range results {
+		if r.route == "probe" && r.status == 404 && r.sentAt.After(after) {
+			lacking[r.vm.name]++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(lacking)) {
+		rec.problem("CONFIG: %s answered %d requests with 404 after all faults, on routes of published configurations", name, lacking[name])
 	}
 }
 
@@ -185,52 +198,43 @@
 
 // checkDrained checks that no process sends requests to a server later than drainTime after it has passed on that the
 // server leaves.
-func (rec *recorder) checkDrained(byID map[string]*result, arrivals []arrival) {
+func (rec *recorder) checkDrained(results []*result, arrivals map[string][]arrival) {
 	leaving := map[target]time.Time{}
-	for _, r := range byID {
+	for _, r := range results {
 		t := target{process{r.vm, r.start}, r.leaving}
 		if known, ok := leaving[t]; r.leaving != "" && r.start > 0 && (!ok || r.endedAt.Before(known)) {
 			leaving[t] = r.endedAt
 		}
 	}
 	late := map[target]int{}
-	for _, a := range arrivals {
-		r := byID[a.id]
-		if r == nil || r.start == 0 {
-			continue
-		}
-		t := target{process{r.vm, r.start}, a.instance}
-		since, ok := leaving[t]
-		if ok && r.sentAt.After(since.Add(drainTime)) && !r.vm.disturbances.between(since, a.at) {
-			late[t]++
+	for _, r := range results {
+		for _, a := range arrivals[r.id] {
+			t := target{process{r.vm, r.start}, a.instance}
+			since, ok := leaving[t]
+			if ok && r.sentAt.After(since.Add(drainTime)) && !r.vm.disturbances.between(since, a.at) {
+				late[t]++
+			}
 		}
 	}
 	rec.reportTargets("DRAIN: %d requests reached %s from %s later than the drain time after it had passed on that the server leaves", late)
 }
 
 // checkRetryTimes checks that a process leaves a server alone until the time that the server has named in a refusal.
-func (rec *recorder) checkRetryTimes(byID map[string]*result, arrivals []arrival) {
+func (rec *recorder) checkRetryTimes(results []*result, arrivals map[string][]arrival) {
 	byTarget := map[target][]arrival{}
-	for _, a := range arrivals {
-		if r := byID[a.id]; r != nil && r.start > 0 {
+	for _, r := range results {
+		if r.start == 0 {
+			continue
+		}
+		for _, a := range arrivals[r.id] {
 			t := target{process{r.vm, r.start}, a.instance}
 			byTarget[t] = append(byTarget[t], a)
 		}
 	}
 	early := map[target]int{}
 	for t, list := range byTarget {
-		for _, refused := range list {
-			if refused.retryAt.IsZero() || t.vm.disturbances.between(refused.at, refused.retryAt) ||
-				rec.fleet.serverDisturbances.between(refused.at, refused.retryAt) {
-				continue
-			}
-			n := 0
-			for _, a := range list {
-				if a.at.After(refused.at.Add(refusalSlack)) && a.at.Before(refused.retryAt) {
-					n++
-				}
-			}
-			if n > maxEarlyRetries {
+		for _, refusal := range list {
+			if n := countEarly(list, refusal); n > maxEarlyRetries && !t.vm.disturbances.between(refusal.at, refusal.retryAt) {
 				early[t] = max(early[t], n)
 			}
 		}
@@ -238,6 +242,21 @@
 	rec.reportTargets("BUDGET: %d requests reached %s from %s before the time that it had named in a refusal", early)
 }
 
+// countEarly counts the arrivals between a refusal and the time to retry at that it names. It is 0 if the refusal may
+// have been lost.
+func countEarly(arrivals []arrival, refusal arrival) int {
+	if refusal.retryAt.IsZero() || refusal.backend.disturbances.between(refusal.at, refusal.retryAt) {
+		return 0
+	}
+	n := 0
+	for _, a := range arrivals {
+		if a.at.After(refusal.at.Add(refusalSlack)) && a.at.Before(refusal.retryAt) {
+			n++
+		}
+	}
+	return n
+}
+
 // reportTargets adds a problem for each target, in a fixed order. format has the number, the instance and the entry VM.
 func (rec *recorder) reportTargets(format string, counts map[target]int) {
 	order := func(a, b target) int {
@@ -253,7 +272,7 @@
 	ends := map[string]int{}
 	undisturbed := 0
 	for _, r := range rec.results {
-		if r.undisturbed(rec.fleet) {
+		if r.undisturbed() {
 			undisturbed++
 		}
 		switch {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -69,8 +69,6 @@
 	backends      []*backend
 	serverProxies []*proxy
 	arrivals      *arrivalLog
-	// serverDisturbances are the faults of backend servers that break responses, and those of the links to them.
-	serverDisturbances disturbances
 	// configurations is the number of configurations published. Each adds a route.
 	configurations atomic.Int64
 	prepaid        map[string]int64
--- a/soak/injector_test.go
+++ b/soak/injector_test.go
@@ -159,8 +159,8 @@
 }
 
 func (fi *faultInjector) cutServerLink() string {
-	p, state, span := fi.fleet.serverProxies[fi.random.IntN(backendCount)], fi.linkFault(), fi.span()
-	fi.startDisturbance(&fi.fleet.serverDisturbances, func() { p.disturb(state, span) })
+	i, state, span := fi.random.IntN(backendCount), fi.linkFault(), fi.span()
+	fi.startDisturbance(&fi.fleet.backends[i].disturbances, func() { fi.fleet.serverProxies[i].disturb(state, span) })
 	return "server link " + linkNames[state]
 }
 
@@ -173,7 +173,7 @@
 
 func (fi *faultInjector) failServer() string {
 	b, span := fi.backend(), fi.span()
-	fi.startDisturbance(&fi.fleet.serverDisturbances, func() {
+	fi.startDisturbance(&b.disturbances, func() {
 		b.failing.Store(failingPercent)
 		time.Sleep(span)
 		b.failing.Store(0)
@@ -184,7 +184,7 @@
 // failResumedStreams has one server fail and all servers answer the streams that are resumed with an error.
 func (fi *faultInjector) failResumedStreams() string {
 	failing, span := fi.backend(), fi.span()
-	fi.startDisturbance(&fi.fleet.serverDisturbances, func() {
+	fi.startDisturbance(&failing.disturbances, func() {
 		failing.failing.Store(failingPercent)
 		for _, b := range fi.fleet.backends {
 			b.failingResumed.Store(true)
