--- a/soak/backend_test.go
+++ b/soak/backend_test.go
@@ -248,13 +248,15 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if counts := r.Header.Get("Token-Counts"); counts != "" {
-		b.stream(w, r, counts, failed)
-		return
+	counts := r.Header.Get("Token-Counts")
+	if counts != "" {
+		w.Header().Set("Content-Type", "text/event-stream")
 	}
 	switch {
 	case b.endless.Load():
 		writeEndlessly(w)
+	case counts != "":
+		b.stream(w, r, counts, failed)
 	case failed && rand.IntN(2) == 0:
 		w.WriteHeader(http.StatusInternalServerError)
 	case failed:
@@ -269,7 +271,6 @@
 	_, output, _ := strings.Cut(counts, ",")
 	tokens, _ := strconv.Atoi(output)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	w.Header().Set("Content-Type", "text/event-stream")
 	for i := last + 1; i <= tokens/eventTokens; i++ {
 		if failed && i == 3 {
 			panic(http.ErrAbortHandler)
@@ -283,7 +284,7 @@
 	}
 }
 
-// writeEndlessly writes a body until its reader closes the connection.
+// writeEndlessly writes a body, of a stream without a whole event, until its reader closes the connection.
 func writeEndlessly(w io.Writer) {
 	chunk := []byte(strings.Repeat("x", endlessChunkBytes))
 	for {
--- a/soak/injector_test.go
+++ b/soak/injector_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -27,6 +28,7 @@
 	recorder *recorder
 	random   *rand.Rand
 	counts   map[string]int
+	log      *faultLog
 	wg       sync.WaitGroup
 }
 
@@ -48,7 +50,9 @@
 		if len(order) == 0 {
 			order = fi.random.Perm(len(faults))
 		}
-		fi.counts[faults[order[0]](fi)]++
+		name := faults[order[0]](fi)
+		fi.counts[name]++
+		fi.log.add(name, "starts")
 		order = order[1:]
 		time.Sleep(fi.between(faultInterval/5, 2*faultInterval-faultInterval/5))
 	}
@@ -108,6 +112,7 @@
 	}
 	defer v.restarting.Store(0)
 	began := time.Now()
+	fi.log.add("planned stop", v.name)
 	v.signal(syscall.SIGTERM)
 	killed := v.waitExit(gracePeriod)
 	if killed && !v.disturbances.between(began, time.Now()) {
@@ -123,6 +128,7 @@
 			return
 		}
 		defer v.restarting.Store(0)
+		fi.log.add("kill", v.name)
 		v.signal(syscall.SIGKILL)
 		v.waitExit(time.Second)
 		time.Sleep(down)
@@ -306,11 +312,12 @@
 }
 
 // restoreStore has the store go down and come back from a copy. The fault lasts until the operator and the backend
-// servers have written again what was lost.
+// servers have written again what was lost. In every second case an entry VM is stopped meanwhile.
 func (fi *faultInjector) restoreStore() string {
 	down, age := fi.between(500*time.Millisecond, 2*time.Second), fi.between(2*time.Second, 9*time.Second)
 	rewrite := fi.between(100*time.Millisecond, maxRewrite)
 	fault := storeFault{kind: []keyedlog.Fault{keyedlog.Unavailable, keyedlog.NoAnswer}[fi.random.IntN(2)], share: 1}
+	v, stop, wait := fi.vm(), fi.random.IntN(2) == 0, fi.between(0, down+rewrite)
 	fi.start(func() {
 		end := fi.fleet.storeFaults.begin(fault)
 		for _, v := range fi.fleet.vms {
@@ -318,10 +325,18 @@
 		}
 		time.Sleep(down)
 		fi.fleet.setTimings(func(t *keyedlog.Timings) { t.Rewrite = rewrite })
-		fi.fleet.store.Restore(min(age, time.Since(fi.fleet.storeReady)))
+		age := min(age, time.Since(fi.fleet.storeReady))
+		fi.fleet.store.Restore(age)
 		end()
+		fi.log.add("store restored", fmt.Sprintf("era %d, copy %v old, lost entries written again after %v", fi.fleet.store.Era(), age, rewrite))
 		time.Sleep(rewrite)
 	})
+	if stop {
+		fi.start(func() {
+			time.Sleep(wait)
+			fi.stopPlanned(v)
+		})
+	}
 	return "store restored"
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -60,6 +60,11 @@
 // runSeed runs one seed in its own loopback network.
 func runSeed(t *testing.T, binary string, seed uint64, network int) {
 	dir := t.TempDir()
+	log, err := newFaultLog(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer log.close()
 	f, err := startFleet(binary, dir, network)
 	if err != nil {
 		t.Fatal(err)
@@ -77,7 +82,7 @@
 		c := &caller{fleet: f, recorder: rec, number: i, random: rand.New(rand.NewPCG(seed, uint64(i)))}
 		wg.Go(func() { c.run(ctx) })
 	}
-	injector := &faultInjector{fleet: f, recorder: rec, random: rand.New(rand.NewPCG(seed, 1000)), counts: map[string]int{}}
+	injector := &faultInjector{fleet: f, recorder: rec, log: log, random: rand.New(rand.NewPCG(seed, 1000)), counts: map[string]int{}}
 	injector.run(*faultDuration)
 	faultsEnded := time.Now()
 	time.Sleep(recoveryTime + 2*time.Second)
