--- a/soak/injector_test.go
+++ b/soak/injector_test.go
@@ -260,6 +260,10 @@
 	b, span := fi.backend(), fi.between(2500*time.Millisecond, 4*time.Second)
 	state := []string{stateReady, stateDraining, stateUnlisted}[fi.random.IntN(3)]
 	fi.start(func() {
+		if !b.replacing.CompareAndSwap(false, true) {
+			return
+		}
+		defer b.replacing.Store(false)
 		b.leaving.Store(true)
 		b.setState(fi.fleet.store, state)
 		time.Sleep(span)
