--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -162,16 +162,33 @@
 		}
 		return
 	}
-	lines := bufio.NewScanner(resp.Body)
-	for lines.Scan() {
-		c.checkLine(r, lines.Text())
-	}
-	r.complete = lines.Err() == nil
+	r.complete = c.checkLines(r, bufio.NewReader(resp.Body))
 	if r.complete && r.events != streamEvents {
 		c.recorder.problem("ORDER: request %s ended without an error after %d events", r.id, r.events)
 	}
 }
 
+// checkLines checks the lines of a stream and reports whether it ended without an error. A stream that breaks may end
+// within a line.
+func (c *caller) checkLines(r *result, lines *bufio.Reader) bool {
+	for {
+		line, err := lines.ReadString('\n')
+		if err == io.EOF && line == "" {
+			return true
+		}
+		if err == io.EOF {
+			c.recorder.problem("MIXED: request %s ended without an error within the line %q", r.id, line[:min(len(line), maxQuotedBytes)])
+		}
+		if err != nil {
+			return false
+		}
+		c.checkLine(r, strings.TrimSuffix(line, "\n"))
+	}
+}
+
+// maxQuotedBytes bounds the part of a wrong line that is reported.
+const maxQuotedBytes = 80
+
 // checkLine checks one line of a stream.
 func (c *caller) checkLine(r *result, line string) {
 	id, found := strings.CutPrefix(line, "id: ")
@@ -183,6 +200,6 @@
 		return
 	}
 	if line != "" && line != fmt.Sprintf("data: %s-%d", r.id, r.events) {
-		c.recorder.problem("MIXED: request %s got the line %q after event %d", r.id, line[:min(len(line), 80)], r.events)
+		c.recorder.problem("MIXED: request %s got the line %q after event %d", r.id, line[:min(len(line), maxQuotedBytes)], r.events)
 	}
 }
