--- a/standin/keyedlog/keyedlog.go
+++ b/standin/keyedlog/keyedlog.go
@@ -147,7 +147,7 @@
 	time.AfterFunc(s.timings.Rewrite, s.rewrite)
 }
 
-// rewrite appends the lost records that are due.
+// rewrite appends the lost records whose time has come.
 func (s *Server) rewrite() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/keyedlog/keyedlog_test.go
+++ b/standin/keyedlog/keyedlog_test.go
@@ -226,6 +226,33 @@
 	})
 }
 
+// TestRewritesOfOverlappingRestores guards against an older record that replaces a newer one because the newer one was
+// lost first, by an earlier restore from a newer copy.
+func TestRewritesOfOverlappingRestores(t *testing.T) {
+	for _, rewrite := range []time.Duration{300 * time.Millisecond, time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			s := New()
+			s.Append(operatorTopic, "config", []byte("v1"))
+			time.Sleep(3 * time.Second)
+			s.Append(operatorTopic, "config", []byte("v2"))
+			time.Sleep(3 * time.Second)
+			s.Append(operatorTopic, "config", []byte("v3"))
+			s.SetTimings(Timings{Rewrite: 500 * time.Millisecond})
+			s.Restore(time.Second)
+			c.Assert(newest(c, s, operatorTopic), qt.DeepEquals, map[string]string{"config": "v2@1"})
+			time.Sleep(100 * time.Millisecond)
+			s.SetTimings(Timings{Rewrite: rewrite})
+			s.Restore(4 * time.Second)
+			c.Assert(newest(c, s, operatorTopic), qt.DeepEquals, map[string]string{"config": "v1@0"})
+			time.Sleep(rewrite + time.Millisecond)
+			c.Assert(values(c, readFrom(s, operatorTopic, 0, 0)), qt.DeepEquals, []string{"v1", "v2", "v3"})
+			time.Sleep(time.Second)
+			c.Assert(values(c, readFrom(s, operatorTopic, 0, 0)), qt.HasLen, 3)
+		})
+	}
+}
+
 // TestLateAppend guards against a late append that ignores its condition, and against one that can't land in the next
 // era.
 func TestLateAppend(t *testing.T) {
--- a/standin/keyedlog/partition.go
+++ b/standin/keyedlog/partition.go
@@ -8,8 +8,8 @@
 type record struct {
 	key   string
 	value []byte
-	// appendedAt and due aren't part of the record's bytes. due is when a lost record is to be appended again.
-	appendedAt, due time.Time
+	// appendedAt isn't part of the record's bytes.
+	appendedAt time.Time
 }
 
 // partitionID names a partition by its topic and its number, both as in queries.
@@ -25,8 +25,9 @@
 	drops []drop
 	// newest is the offset of the newest record of each key that has a value.
 	newest map[string]uint64
-	// lost holds the records to be appended again, in order.
-	lost []record
+	// lost holds the records to be appended again at rewriteAt, in order.
+	lost      []record
+	rewriteAt time.Time
 	// changed is closed and replaced at each change, for reads that wait.
 	changed chan struct{}
 }
@@ -92,12 +93,10 @@
 	return lost
 }
 
-// queueRewrites has lost records appended again when they are due.
-func (p *partition) queueRewrites(lost []record, due time.Time) {
-	for _, r := range lost {
-		r.due = due
-		p.lost = append(p.lost, r)
-	}
+// queueRewrites has lost records appended again at a time. What an earlier restore lost and is still to be appended
+// follows them: had a newer record of the same key been appended since, it would have been superseded.
+func (p *partition) queueRewrites(lost []record, at time.Time) {
+	p.lost, p.rewriteAt = append(lost, p.lost...), at
 }
 
 // supersede drops the lost records of a key whose writer appends a newer record.
@@ -105,17 +104,11 @@
 	p.lost = slices.DeleteFunc(p.lost, func(r record) bool { return r.key == key })
 }
 
-// rewrite appends the lost records that are due.
+// rewrite appends the lost records if it is time.
 func (p *partition) rewrite(now time.Time) {
-	var due []record
-	p.lost = slices.DeleteFunc(p.lost, func(r record) bool {
-		if r.due.After(now) {
-			return false
-		}
-		due = append(due, r)
-		return true
-	})
-	if len(due) > 0 {
-		p.append(due, now)
+	if len(p.lost) == 0 || now.Before(p.rewriteAt) {
+		return
 	}
+	p.append(p.lost, now)
+	p.lost = nil
 }
