--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -43,6 +43,8 @@
 	tb     testing.TB
 	vm     *entry.VM
 	engine *engine.Server
+	// platform is the stand-in of the platform.
+	platform *standin.Server
 	// callers and engineAddr are the addresses of the entry VM and of its engine.
 	callers, engineAddr string
 	client              *http.Client
@@ -75,6 +77,7 @@
 	logListener := listen(tb)
 	log.Start(logListener)
 	tb.Cleanup(log.Close)
+	n.platform = log
 	n.engine = engine.New(engine.Config{
 		Versions: []engine.ModelVersion{{Model: "small", Version: "v1"}}, TokenDelay: cfg.tokenDelay,
 	})
