io/engine: numbers of tokens out of range are errors

A load report with 2^63-1 waiting tokens was accepted, and its sum with the held ones is negative, so that the engine looks idle and gets all requests; usage of 2^63-1 tokens was accepted and would be billed. Both are now errors above 2^48, like negative numbers. TestOddLoadReport failed before for 2^63-1 in each of five fields, TestOddUsage for 2^63-1 in both. Fuzz targets for events and reports of engines.

--- /dev/null
+++ b/io/engine/numbers_test.go
@@ -0,0 +1,78 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// oddNumbers are numbers that no engine means.
+var oddNumbers = []string{"1e400", "1e30", "-1", "9223372036854775807", "9223372036854775808", "0.5", `"6"`, "[]", strings.Repeat("[", 1_000_000)}
+
+// TestOddLoadReport guards against a server that looks idle as its tokens overflow, and against a panic.
+func TestOddLoadReport(t *testing.T) {
+	c := qt.New(t)
+	var answer string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, answer) }))
+	defer server.Close()
+	client := NewClient(Config{Address: server.Listener.Addr().(*net.TCPAddr).AddrPort()})
+	for _, field := range []string{"heldTokens", "waitingTokens", "capacityTokens", "running", "waiting"} {
+		for _, n := range oddNumbers {
+			answer = fmt.Sprintf(`{"time":"2026-01-01T00:00:00Z","%s":%s}`, field, n)
+			_, err := client.LoadReport(context.Background())
+			c.Check(err, qt.IsNotNil, qt.Commentf("%.80s", answer))
+		}
+	}
+}
+
+// TestOddUsage guards against a stream for which a team is billed more tokens than an engine can make.
+func TestOddUsage(t *testing.T) {
+	c := qt.New(t)
+	for _, field := range []string{"prompt_tokens", "completion_tokens"} {
+		for _, n := range oddNumbers {
+			_, err := (&Stream{}).parse([]byte(fmt.Sprintf(`{"usage":{"%s":%s}}`, field, n)))
+			c.Check(err, qt.ErrorIs, ErrInvalidResponse, qt.Commentf("%s %.80s", field, n))
+		}
+	}
+}
+
+// FuzzEvent guards against events of an engine that panic, and against usage out of range.
+func FuzzEvent(f *testing.F) {
+	f.Add([]byte(`{"choices":[{"text":"a","finish_reason":"stop"}],"usage":{"prompt_tokens":3,"completion_tokens":4}}`))
+	f.Add([]byte(`{"choices":[{"delta":{"content":"\ud800"}}],"draining":true}`))
+	for _, n := range oddNumbers {
+		f.Add([]byte(`{"usage":{"prompt_tokens":` + n[:min(len(n), 1000)] + `}}`))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		chunk, err := (&Stream{}).parse(data)
+		if err == nil && (min(chunk.Usage.PromptTokens, chunk.Usage.CompletionTokens) < 0 ||
+			max(chunk.Usage.PromptTokens, chunk.Usage.CompletionTokens) > maxTokens) {
+			t.Fatalf("accepted %+v", chunk.Usage)
+		}
+	})
+}
+
+// FuzzReports guards against reports of an engine that panic, and against sums of accepted ones that overflow.
+func FuzzReports(f *testing.F) {
+	f.Add([]byte(`{"time":"2026-01-01T00:00:00Z","heldTokens":1,"waitingTokens":2}`))
+	f.Add([]byte(`{"next":2,"events":[{"sequence":1,"type":"stored","block":"ff"}]}`))
+	f.Add([]byte(`{"versions":[{"model":"m","version":"1","state":"loaded"}]}`))
+	f.Add([]byte(`{"heldTokens":9223372036854775807,"waitingTokens":9223372036854775807}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var load LoadReport
+		if json.Unmarshal(data, &load) == nil && load.Validate() == nil && load.HeldTokens+load.WaitingTokens < 0 {
+			t.Fatalf("accepted %+v", load)
+		}
+		var page CacheEventPage
+		var state State
+		_, _ = json.Unmarshal(data, &page), json.Unmarshal(data, &state)
+		_, _ = page.Validate(), state.Validate()
+	})
+}
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -259,8 +259,10 @@
 			in.SkipRecursive()
 		}
 	})
-	if min(chunk.Usage.PromptTokens, chunk.Usage.CompletionTokens, chunk.Usage.CachedTokens) < 0 {
-		in.AddError(eris.New("negative usage"))
+	for _, n := range []int{chunk.Usage.PromptTokens, chunk.Usage.CompletionTokens, chunk.Usage.CachedTokens} {
+		if n < 0 || n > maxTokens {
+			in.AddError(eris.New("usage out of range"))
+		}
 	}
 }
 
--- a/io/engine/types.go
+++ b/io/engine/types.go
@@ -24,14 +24,19 @@
 	Incarnation int `json:"incarnation"`
 }
 
-// Validate checks that no number is negative.
+// Validate checks that all numbers are in range.
 func (l LoadReport) Validate() error {
-	if min(l.HeldTokens, l.WaitingTokens, l.CapacityTokens, int64(l.Running), int64(l.Waiting)) < 0 {
-		return eris.New("load report with a negative number")
+	for _, n := range []int64{l.HeldTokens, l.WaitingTokens, l.CapacityTokens, int64(l.Running), int64(l.Waiting)} {
+		if n < 0 || n > maxTokens {
+			return eris.Errorf("load report with the number %d", n)
+		}
 	}
 	return nil
 }
 
+// maxTokens bounds the numbers of tokens in answers of an engine, so that sums of them don't overflow.
+const maxTokens = 1 << 48
+
 // BlockBytes is the size of a cached block: block i covers the first (i+1)*BlockBytes bytes of a prompt's text.
 const BlockBytes = 256
 
