entry: a load report from the future doesn't end those after it

Reports older than the last one are ignored, so after one with a time years ahead an engine's reports were ignored for good: requests went on to it while it drained, and its load counted as the old one. A report from the future now counts as of the time at which it was read. TestReportFromFutureEndsLoads fails without the comparison: the draining engine isn't leaving.

--- a/entry/poll.go
+++ b/entry/poll.go
@@ -19,9 +19,7 @@
 		if err == nil {
 			s.mu.Lock()
 			e.incarnation = load.Incarnation
-			s.table.ObserveLoad(routing.Load{
-				Server: e.Name, At: load.Time, Tokens: load.HeldTokens + load.WaitingTokens, Leaving: load.Draining,
-			})
+			s.table.ObserveLoad(newLoad(e.Name, s.cfg.Now(), load))
 			s.mu.Unlock()
 		}
 		select {
@@ -32,6 +30,16 @@
 	}
 }
 
+// newLoad returns the load of a server by its report. A report from the future counts as of now, since the table ignores
+// all older ones after it.
+func newLoad(server string, now time.Time, report engine.LoadReport) routing.Load {
+	at := report.Time
+	if at.After(now) {
+		at = now
+	}
+	return routing.Load{Server: server, At: at, Tokens: report.HeldTokens + report.WaitingTokens, Leaving: report.Draining}
+}
+
 // pollCacheEvents long-polls the cache events of one engine of the own domain until ctx ends.
 func (s *serverController) pollCacheEvents(ctx context.Context, e *engineEntry) {
 	var from uint64
