io/peer: an answer to a draw is within what was asked for

A peer that answered a draw with fewer than 0 tokens, or with 2^63-1, changed the account of the team by that: it would have refused all further calls, or admitted them beyond the budget. Such an answer is now an error, like none. Before, TestDrawOutOfRange failed for -1, 201 of 200, 2^63-1 and -2^63.

--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -83,13 +83,17 @@
 	return client
 }
 
-// Draw asks the entry VM at addr for tokens of a team and returns how many it gave.
+// Draw asks the entry VM at addr for tokens of a team and returns how many it gave, at most the larger of need and want.
 func (c *PoolClient) Draw(ctx context.Context, addr netip.AddrPort, team string, need, want int64) (int64, error) {
 	reply, err := c.clientFor(addr).DrawTokens(ctx, &DrawTokensRequest{Team: team, Need: need, Want: want})
 	if err != nil {
 		return 0, eris.Wrap(err, "draw tokens")
 	}
-	return reply.GetTokens(), nil
+	n := reply.GetTokens()
+	if n < 0 || n > max(need, want) {
+		return 0, eris.Errorf("drew %d tokens, asked for %d", n, max(need, want))
+	}
+	return n, nil
 }
 
 // HandOver transfers tokens, by team, to the entry VM at addr.
--- /dev/null
+++ b/io/peer/pool_test.go
@@ -0,0 +1,36 @@
+package peer_test
+
+import (
+	"context"
+	"math"
+	"net"
+	"net/http/httptest"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"ibiswinch/io/peer"
+)
+
+// fixedPool gives the same number of tokens to each caller.
+type fixedPool struct{ gives int64 }
+
+func (p fixedPool) GiveTokens(context.Context, string, int64, int64) int64 { return p.gives }
+func (fixedPool) ReceiveTokens(map[string]int64)                           {}
+
+// TestDrawOutOfRange guards against an answer with fewer than no tokens, or more than were asked for: the account would be
+// wrong from then on.
+func TestDrawOutOfRange(t *testing.T) {
+	c := qt.New(t)
+	const need, want = 100, 200
+	for gives, valid := range map[int64]bool{0: true, need: true, want: true, want + 1: false, -1: false, math.MaxInt64: false, math.MinInt64: false} {
+		server := httptest.NewServer(peer.NewPoolHandler(fixedPool{gives}))
+		addr := server.Listener.Addr().(*net.TCPAddr).AddrPort()
+		n, err := peer.NewPoolClient(&net.Dialer{}).Draw(context.Background(), addr, "team", need, want)
+		server.Close()
+		c.Check(err == nil, qt.Equals, valid, qt.Commentf("%d", gives))
+		if valid {
+			c.Check(n, qt.Equals, gives)
+		}
+	}
+}
