--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -343,7 +343,7 @@
 		err = r.changes.Apply(record.Position{}, step)
 	}
 	if err != nil {
-		r.cfg.Events.Event(event.RecordSkipped, apexlog.Fields{"key": in.Key, "offset": in.Offset, "error": err.Error()})
+		r.cfg.logSkipped(in, err)
 	}
 }
 
