--- a/io/internal/roundtrip/roundtrip.go
+++ b/io/internal/roundtrip/roundtrip.go
@@ -124,3 +124,23 @@
 	}
 	return value, nil
 }
+
+// DecodeEntries decodes the valid entries of a JSON list, so that an invalid one doesn't hide the others. A missing list is
+// an error, null is an empty one.
+func DecodeEntries[T Validator](list json.RawMessage) ([]T, error) {
+	if list == nil {
+		return nil, eris.New("list missing")
+	}
+	var raw []json.RawMessage
+	if err := json.Unmarshal(list, &raw); err != nil {
+		return nil, err
+	}
+	var entries []T
+	for _, data := range raw {
+		var entry T
+		if json.Unmarshal(data, &entry) == nil && entry.Validate() == nil {
+			entries = append(entries, entry)
+		}
+	}
+	return entries, nil
+}
--- a/io/platform/lists.go
+++ b/io/platform/lists.go
@@ -57,7 +57,7 @@
 		return err
 	}
 	l.Revision = wire.Revision
-	l.VMs, err = decodeEntries[VM](wire.VMs)
+	l.VMs, err = roundtrip.DecodeEntries[VM](wire.VMs)
 	return err
 }
 
@@ -94,28 +94,9 @@
 		return err
 	}
 	l.Revision = wire.Revision
-	l.Servers, err = decodeEntries[Server](wire.Servers)
+	l.Servers, err = roundtrip.DecodeEntries[Server](wire.Servers)
 	return err
 }
 
 // Validate implements the check of an answer. Entries were checked when they were decoded.
 func (ServerList) Validate() error { return nil }
-
-// decodeEntries decodes the valid entries of a list, so that an invalid one doesn't hide the others.
-func decodeEntries[T roundtrip.Validator](list json.RawMessage) ([]T, error) {
-	if list == nil {
-		return nil, eris.New("list missing")
-	}
-	var raw []json.RawMessage
-	if err := json.Unmarshal(list, &raw); err != nil {
-		return nil, err
-	}
-	var entries []T
-	for _, data := range raw {
-		var entry T
-		if json.Unmarshal(data, &entry) == nil && entry.Validate() == nil {
-			entries = append(entries, entry)
-		}
-	}
-	return entries, nil
-}
