io/engine: an odd cache event hides no others

One invalid event failed the page of cache events, and so did each later read from the same place: the entry VM no longer followed the engine's cache and sent prompts to engines that had dropped them. Invalid events are left out, as if they had been lost, and a page without next or events is an error that is retried. TestOddCacheEventHidesOthers failed before at its first case ("event of unknown type").

--- a/io/engine/numbers_test.go
+++ b/io/engine/numbers_test.go
@@ -76,3 +76,28 @@
 		_, _ = page.Validate(), state.Validate()
 	})
 }
+
+// TestOddCacheEventHidesOthers guards against cache events that are never followed again because of an odd one among them.
+func TestOddCacheEventHidesOthers(t *testing.T) {
+	c := qt.New(t)
+	var answer string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, answer) }))
+	defer server.Close()
+	client := NewClient(Config{Address: server.Listener.Addr().(*net.TCPAddr).AddrPort()})
+	const sound = `{"sequence":3,"type":"stored","block":"ff"}`
+	for _, odd := range []string{
+		`null`, `7`, `{}`, `[]`, `{"sequence":2,"type":"odd","block":"ff"}`, `{"sequence":2,"type":"stored","block":"zz"}`,
+		`{"sequence":-1,"type":"stored","block":"ff"}`, `{"sequence":1e400,"type":"stored","block":"ff"}`,
+		`{"sequence":9,"type":"stored","block":"ff"}`, `{"sequence":2,"type":"stored","block":7}`,
+	} {
+		answer = `{"incarnation":1,"next":5,"events":[` + odd + `,` + sound + `,` + odd + `]}`
+		page, err := client.CacheEvents(context.Background(), 0, 0)
+		c.Assert(err, qt.IsNil, qt.Commentf("%s", odd))
+		c.Assert(page.Next, qt.Equals, uint64(5))
+		c.Check(page.Events, qt.DeepEquals, []CacheEvent{{Sequence: 3, Type: CacheEventStored, Block: 0xff}}, qt.Commentf("%s", odd))
+	}
+	for _, answer = range []string{"null", "{}", "[]", `{"next":5}`, `{"events":[]}`, `{"next":-1,"events":[]}`, `{"next":5,"events":7}`} {
+		_, err := client.CacheEvents(context.Background(), 0, 0)
+		c.Check(err, qt.IsNotNil, qt.Commentf("%s", answer))
+	}
+}
--- a/io/engine/types.go
+++ b/io/engine/types.go
@@ -1,11 +1,14 @@
 package engine
 
 import (
+	"encoding/json"
 	"hash/fnv"
 	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"ibiswinch/io/internal/roundtrip"
 )
 
 // LoadReport is the load report of an engine. All fields but Draining and Incarnation may be out of date.
@@ -95,7 +98,16 @@
 	Time     time.Time      `json:"time"`
 }
 
-// CacheEventPage is the response to a read of cache events.
+// Validate checks the event by itself.
+func (e CacheEvent) Validate() error {
+	if e.Type != CacheEventStored && e.Type != CacheEventRemoved {
+		return eris.Errorf("event of unknown type %q", string(e.Type))
+	}
+	return nil
+}
+
+// CacheEventPage is the response to a read of cache events. Events that are invalid or out of place are left out, as if
+// they had been lost.
 type CacheEventPage struct {
 	// Incarnation counts the starts of the engine. The cache is empty after each, and sequences start at 0.
 	Incarnation int `json:"incarnation"`
@@ -104,19 +116,35 @@
 	Events []CacheEvent `json:"events"`
 }
 
-// Validate checks the order of the events.
-func (p CacheEventPage) Validate() error {
-	for i, e := range p.Events {
-		if e.Type != CacheEventStored && e.Type != CacheEventRemoved {
-			return eris.Errorf("event of unknown type %q", string(e.Type))
-		}
-		if e.Sequence >= p.Next || i > 0 && e.Sequence <= p.Events[i-1].Sequence {
-			return eris.Errorf("event %d is out of place", e.Sequence)
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *CacheEventPage) UnmarshalJSON(data []byte) error {
+	var wire struct {
+		Incarnation int             `json:"incarnation"`
+		Next        *uint64         `json:"next"`
+		Events      json.RawMessage `json:"events"`
+	}
+	if err := json.Unmarshal(data, &wire); err != nil {
+		return err
+	}
+	if wire.Next == nil {
+		return eris.New("page of cache events without next")
+	}
+	events, err := roundtrip.DecodeEntries[CacheEvent](wire.Events)
+	if err != nil {
+		return err
+	}
+	*p = CacheEventPage{Incarnation: wire.Incarnation, Next: *wire.Next}
+	for _, e := range events {
+		if n := len(p.Events); e.Sequence < p.Next && (n == 0 || e.Sequence > p.Events[n-1].Sequence) {
+			p.Events = append(p.Events, e)
 		}
 	}
 	return nil
 }
 
+// Validate implements the check of an answer. Events were checked when they were decoded.
+func (CacheEventPage) Validate() error { return nil }
+
 // ModelVersion identifies a version of a model, or an adapter of a version.
 type ModelVersion struct {
 	Model   string `json:"model"`
