--- a/core/escrow/decode.go
+++ b/core/escrow/decode.go
@@ -4,16 +4,14 @@
 	"encoding/json"
 
 	"github.com/rotisserie/eris"
-)
 
-const (
-	// maxTokens bounds the amounts of a record, so that the sums over all holders of a team and their percentages don't
-	// overflow.
-	maxTokens = 1 << 50
-	// maxTime is the last millisecond of the year 9999 in Unix time.
-	maxTime = 253402300799999
+	"ibiswinch/core/keyed"
 )
 
+// maxTokens bounds the amounts of a record, so that the sums over all holders of a team and their percentages don't
+// overflow.
+const maxTokens = 1 << 50
+
 // ErrInvalidRecord is wrapped by the errors of decoding a record that no entry VM has written.
 var ErrInvalidRecord = eris.New("invalid reservation")
 
@@ -29,7 +27,7 @@
 			return eris.Wrapf(ErrInvalidRecord, "amount %d", n)
 		}
 	}
-	if p.At <= 0 || p.At > maxTime {
+	if p.At <= 0 || p.At > keyed.MaxUnixMilli {
 		return eris.Wrapf(ErrInvalidRecord, "time %d", p.At)
 	}
 	*r = Record(p)
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -43,9 +43,8 @@
 	// records waits.
 	minReadWait   = time.Second
 	readWaitPerVM = 10 * time.Millisecond
-	// maxVMNameBytes bounds the name of an entry VM. maxHeartbeatTime is the last millisecond of the year 9999 in Unix time.
-	maxVMNameBytes   = 128
-	maxHeartbeatTime = 253402300799999
+	// maxVMNameBytes bounds the name of an entry VM.
+	maxVMNameBytes = 128
 )
 
 // heartbeat is the record with which an entry VM tells the others its state.
@@ -76,7 +75,7 @@
 		return eris.Wrapf(errInvalidHeartbeat, "name of %d bytes", len(name))
 	case h.Incarnation == "":
 		return eris.Wrap(errInvalidHeartbeat, "incarnation missing")
-	case h.Time <= 0 || h.Time > maxHeartbeatTime:
+	case h.Time <= 0 || h.Time > keyed.MaxUnixMilli:
 		return eris.Wrapf(errInvalidHeartbeat, "time %d", h.Time)
 	}
 	for _, n := range h.Calls {
