--- a/core/escrow/decode.go
+++ b/core/escrow/decode.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 
 	"github.com/rotisserie/eris"
+
+	"ibiswinch/core/keyed"
 )
 
 const (
@@ -12,8 +14,6 @@
 	maxTokens = 1 << 50
 	// maxSequence bounds the number of a write; a holder writes a few records a second.
 	maxSequence = 1 << 53
-	// maxTime is the last millisecond of the year 9999 in Unix time.
-	maxTime = 253402300799999
 )
 
 // ErrInvalidRecord is wrapped by the errors of decoding a record that no entry VM has written.
@@ -34,7 +34,7 @@
 	if p.Sequence > maxSequence {
 		return eris.Wrapf(ErrInvalidRecord, "sequence %d", p.Sequence)
 	}
-	if p.At <= 0 || p.At > maxTime {
+	if p.At <= 0 || p.At > keyed.MaxUnixMilli {
 		return eris.Wrapf(ErrInvalidRecord, "time %d", p.At)
 	}
 	*r = Record(p)
