gateway, platform: a refusal proves "not run" only if it belongs to its attempt

What callers would see: 503 "not run, try again" for an order that its server runs, or the same order run at a second server, when a faulty server writes an earlier refusal once more on a kept connection.

Cause: an answer with Not-Executed, or with 421, counted as proof if it had no id, and an id alone was proof even if the connection had already brought a refusal of that id. A refusal of another id was recognised already, but its connection, on which each further answer is one request late, stayed in use.

Evidence: TestRepeatedRefusalIsTakenForProof with the rule as it was: 8 of 14 cases red, each with 503 instead of 502 (no id, an empty id, no id with 429 or 421, in two parts, after a sound answer, and a caller that uses its id again). The refusals with the id of the earlier request, whole, in parts, after a sound answer, 429 and 421, passed before.

Why this works: platform reports what it knows of the origin of an answer: which id it echoes, whether the connection is reused, and whether it has brought a refusal of this id before. The gateway decides: a refusal with the attempt's id is proof unless that id was refused before on the connection, and one without id only on a new connection. Connections whose answers are in doubt are closed, and so are those that brought a refusal without id, so that the next refusal of such a server is proof again and orders are still sent to another server (TestRefusalIsRetried).

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -137,13 +137,17 @@
 	if err != nil {
 		return x.resultOfError(ctx, attemptCtx, err)
 	}
+	if !belongsToAttempt(answer) {
+		answer.CloseConnection()
+		return attemptResult{outcome: placement.Interrupted, arrived: true, err: errOtherRequest}
+	}
 	x.recordLimit(p.Server, answer)
-	if answer.NotRun() || answer.Misdirected() {
+	if provesNotRun(answer) {
 		outcome := placement.Rejected
 		if answer.Misdirected() {
 			outcome = placement.Misdirected
 		}
-		answer.Close()
+		closeRefused(answer)
 		return attemptResult{outcome: outcome, notRun: true, arrived: true, err: errors.New("the server did not run the call")}
 	}
 	if answer.IsEventStream() && answer.Signed() && isSuccess(answer.Status()) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,8 +66,10 @@
 	Send(ctx context.Context, a Attempt) (Answer, error)
 }
 
-// Answer is what a backend server answered. Close must be called.
+// Answer is what a backend server answered. Close or CloseConnection must be called.
 type Answer interface {
+	// Origin tells what is known about the request that the answer belongs to.
+	Origin() Origin
 	// Status is the HTTP status.
 	Status() int
 	// Signed reports whether the server signed the answer.
@@ -86,6 +88,8 @@
 	// Next returns the next event, which is valid until the next call. It returns io.EOF at the end of a complete stream.
 	Next() (Event, error)
 	Close()
+	// CloseConnection closes the answer, and its connection unless a later attempt uses it already.
+	CloseConnection()
 }
 
 // Event is one event of a stream. Raw holds its bytes as received.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -182,8 +182,11 @@
 	limit       float64
 	events      []Event
 	// end is the error after the last event, io.EOF by default.
-	end  error
-	next int
+	end    error
+	next   int
+	origin Origin
+	// connectionClosed is set when the gateway has closed the connection.
+	connectionClosed bool
 }
 
 func (a *fakeAnswer) Status() int         { return a.status }
@@ -196,6 +199,8 @@
 
 func (a *fakeAnswer) Body(int64) ([]byte, error) { return []byte(a.body), a.end }
 func (a *fakeAnswer) Close()                     {}
+func (a *fakeAnswer) CloseConnection()           { a.connectionClosed = true }
+func (a *fakeAnswer) Origin() Origin             { return a.origin }
 
 func (a *fakeAnswer) Next() (Event, error) {
 	if a.next < len(a.events) {
