gateway: a resumed stream takes no answer that isn't a stream

What callers would see: the body of another answer in the middle of their stream, which then looks complete, when the stream broke off and the next server answered with a signed 200 that is no event stream.

Cause: whether the head was sent was checked only for failures, after the answer was read; a whole answer with success was written to the caller wherever its stream stood.

Why this works: once the head is sent, an answer that isn't a signed event stream with success is closed unread. The attempt has failed; the stream goes on at another server, or the connection is aborted.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -154,6 +154,10 @@
 		defer answer.Close()
 		return x.relayEvents(ctx, attemptCtx, p, answer, watchdog)
 	}
+	if x.headSent {
+		answer.Close()
+		return resultOfOtherAnswer(answer)
+	}
 	return x.relayWhole(ctx, attemptCtx, answer)
 }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -242,14 +242,21 @@
 	body     string
 	finished bool
 	aborted  bool
+	// heads counts the heads of answers.
+	heads int
 }
 
 func (r *recorder) Refuse(e *refusal.Error) error { r.refused = e; return nil }
 func (r *recorder) WriteAnswer(a Answer, body []byte) error {
-	r.status, r.body = a.Status(), string(body)
+	r.status, r.body = a.Status(), r.body+string(body)
+	r.heads++
+	return nil
+}
+func (r *recorder) WriteHead(a Answer) error {
+	r.status = a.Status()
+	r.heads++
 	return nil
 }
-func (r *recorder) WriteHead(a Answer) error    { r.status = a.Status(); return nil }
 func (r *recorder) WriteEvent(raw []byte) error { r.body += string(raw); return nil }
 func (r *recorder) Finish()                     { r.finished = true }
 func (r *recorder) Abort()                      { r.aborted = true }
--- /dev/null
+++ b/gateway/resume_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"io"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// brokenStream is a stream that breaks off after some events.
+func brokenStream(ids ...string) sendResult {
+	return sendResult{answer: &fakeAnswer{status: 200, stream: true, events: events(ids...), end: io.ErrUnexpectedEOF}}
+}
+
+func wholeStream(ids ...string) *fakeAnswer {
+	return &fakeAnswer{status: 200, stream: true, events: events(ids...)}
+}
+
+// TestResumedStreamHoldsOnlyItsEvents guards against bytes of an error, a second head, and an end that looks complete, in a stream that broke off and whose next server doesn't go on with it.
+func TestResumedStreamHoldsOnlyItsEvents(t *testing.T) {
+	failure := wholeStream("3")
+	failure.status = 500
+	unsigned := wholeStream("3")
+	unsigned.unsigned = true
+	for name, next := range map[string]*fakeAnswer{
+		"signed 500":              {status: 500, body: "no"},
+		"unsigned 500":            {status: 500, body: "no", unsigned: true},
+		"signed 404":              {status: 404, body: "no"},
+		"signed 200, no stream":   {status: 200, body: "whole"},
+		"unsigned 200, no stream": {status: 200, body: "whole", unsigned: true},
+		"503, did not run":        {status: 503, notRun: true},
+		"429, did not run":        {status: 429, notRun: true, unsigned: true},
+		"421":                     {status: 421, misdirected: true, unsigned: true},
+		"stream with status 500":  failure,
+		"unsigned stream":         unsigned,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, brokenStream("1", "2"), sendResult{answer: next}, sendResult{answer: next}, sendResult{answer: next})
+			r := f.post("/chat/1")
+			want := "id:1\n\nid:2\n\n"
+			f.c.Check(r.body, qt.Equals, want)
+			f.c.Check(r.status, qt.Equals, 200)
+			f.c.Check(r.refused == nil, qt.IsTrue)
+			f.c.Check(r.heads, qt.Equals, 1)
+			f.c.Check(r.aborted, qt.IsTrue)
+			f.c.Check(r.finished, qt.IsFalse)
+		})
+	}
+}
+
+// TestStreamIsResumedAfterRefusal guards against giving up a stream that broke off, when one server refuses to go on with it
+// and another one would.
+func TestStreamIsResumedAfterRefusal(t *testing.T) {
+	f := newFixture(t, brokenStream("1"), rejected, sendResult{answer: wholeStream("2", "3")})
+	r := f.post("/chat/1")
+	f.c.Assert(r.body, qt.Equals, "id:1\n\nid:2\n\nid:3\n\n")
+	f.c.Assert(r.finished, qt.IsTrue)
+}
