gateway: a resumed stream goes on with the next event or is aborted

What callers would see: events twice, out of order or missing, the text or the head of an error sent as an event, or an end that looks complete before the last event, when a stream broke off and the next server began again from the first event, left one out, sent something without id, or ended at once.

Cause: whatever a signed event stream brought was forwarded; its ids were noted, but not compared with what the caller has.

Why this works: the first event of a resumed stream must be the next one by the steps of the ids so far (1 while only one is known, any larger id if the steps vary), and ids that are numbers must increase. A resumed stream without any event doesn't count as complete: it may have been broken off before its first one. In each case the attempt has failed, and the connection of the caller is aborted if there is no further attempt. A stream that broke off after its last event, but before its end, is therefore aborted too.

TestEventIDs and TestResumedStreamKeepsItsHead show that sound servers' streams are still resumed, also after a refusal.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -47,11 +47,12 @@
 	excluded                 []string
 	// headSent is set when the head of a stream was forwarded, answerSent when any successful answer was.
 	headSent, answerSent bool
-	lastEvent            string
-	events               int64
-	firstEvent           time.Time
-	maxGap               time.Duration
-	lastEventAt          time.Time
+	// forwarded follows the events that the caller has.
+	forwarded   eventSequence
+	events      int64
+	firstEvent  time.Time
+	maxGap      time.Duration
+	lastEventAt time.Time
 	// attemptStarted and attemptEvents are the start and the number of events of the current attempt.
 	attemptStarted time.Time
 	attemptEvents  int64
@@ -132,7 +133,7 @@
 	watchdog := x.startWatchdog(cancel)
 	defer watchdog.Stop()
 	answer, err := x.g.cfg.Backend.Send(attemptCtx, Attempt{
-		Call: x.Call, Server: p.Server, Team: x.teamName(), Deadline: x.deadline, LastEventID: x.lastEvent, Priority: x.priority(),
+		Call: x.Call, Server: p.Server, Team: x.teamName(), Deadline: x.deadline, LastEventID: x.forwarded.last, Priority: x.priority(),
 	})
 	if err != nil {
 		return x.resultOfError(ctx, attemptCtx, err)
@@ -231,15 +232,14 @@
 	for {
 		e, err := answer.Next()
 		if err == io.EOF {
-			if !x.sendHead(answer) {
-				return attemptResult{outcome: placement.Cancelled, arrived: true, done: true}
-			}
-			x.reply.Finish()
-			return attemptResult{outcome: placement.Answered, arrived: true, done: true}
+			return x.finishStream(answer, first)
 		}
 		if err != nil {
 			return x.resultOfError(ctx, attemptCtx, err)
 		}
+		if !x.mayForward(e, first) {
+			return attemptResult{outcome: placement.Interrupted, arrived: true, err: errNoContinuation}
+		}
 		if resumable {
 			watchdog.Reset(stallTimeout)
 		}
@@ -252,7 +252,7 @@
 			return attemptResult{outcome: placement.Cancelled, arrived: true, done: true}
 		}
 		x.recordEventTime()
-		x.lastEvent = e.ID
+		x.forwarded.add(e.ID)
 		x.events++
 		x.attemptEvents++
 	}
@@ -291,7 +291,7 @@
 	if !result.notRun && (!x.route.Repeatable() || x.runs >= x.route.MaxRuns) {
 		return false
 	}
-	if x.headSent && (x.route.Kind != call.Stream || x.lastEvent == "") {
+	if x.headSent && (x.route.Kind != call.Stream || x.forwarded.last == "") {
 		return false
 	}
 	if _, quarantined := x.g.suspects.check(x.Call); quarantined {
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"ibiswinch/core/call"
 	"ibiswinch/core/placement"
 )
 
@@ -17,3 +18,27 @@
 	}
 	return result
 }
+
+// finishStream ends the stream of an attempt. A resumed stream without an event may have been broken off before it, and
+// doesn't prove that the caller has the last one.
+func (x *exchange) finishStream(answer Answer, empty bool) attemptResult {
+	if empty && x.headSent {
+		return attemptResult{outcome: placement.Interrupted, arrived: true, err: errNoContinuation}
+	}
+	if !x.sendHead(answer) {
+		return attemptResult{outcome: placement.Cancelled, arrived: true, done: true}
+	}
+	x.reply.Finish()
+	return attemptResult{outcome: placement.Answered, arrived: true, done: true}
+}
+
+// mayForward reports whether an event follows the events that the caller has. Only streams have ids that increase.
+func (x *exchange) mayForward(e Event, first bool) bool {
+	if x.route.Kind != call.Stream {
+		return true
+	}
+	if first {
+		return x.forwarded.continues(e.ID)
+	}
+	return x.forwarded.increases(e.ID)
+}
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -16,7 +16,8 @@
 	return &fakeAnswer{status: 200, stream: true, events: events(ids...)}
 }
 
-// TestResumedStreamHoldsOnlyItsEvents guards against bytes of an error, a second head, and an end that looks complete, in a stream that broke off and whose next server doesn't go on with it.
+// TestResumedStreamHoldsOnlyItsEvents guards against bytes of an error, an event that is missing, comes twice or is out of
+// order, and an end that looks complete, in a stream that broke off and whose next server doesn't go on with it.
 func TestResumedStreamHoldsOnlyItsEvents(t *testing.T) {
 	failure := wholeStream("3")
 	failure.status = 500
@@ -33,11 +34,21 @@
 		"421":                     {status: 421, misdirected: true, unsigned: true},
 		"stream with status 500":  failure,
 		"unsigned stream":         unsigned,
+		"from the first event":    wholeStream("1", "2", "3", "4"),
+		"last event again":        wholeStream("2", "3", "4"),
+		"an event is missing":     wholeStream("4", "5"),
+		"first event without id":  wholeStream("", "3"),
+		"first event with a name": wholeStream("error"),
+		"no event":                wholeStream(),
+		"going back":              wholeStream("3", "2"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, brokenStream("1", "2"), sendResult{answer: next}, sendResult{answer: next}, sendResult{answer: next})
 			r := f.post("/chat/1")
 			want := "id:1\n\nid:2\n\n"
+			if name == "going back" {
+				want += "id:3\n\n"
+			}
 			f.c.Check(r.body, qt.Equals, want)
 			f.c.Check(r.status, qt.Equals, 200)
 			f.c.Check(r.refused == nil, qt.IsTrue)
@@ -56,3 +67,16 @@
 	f.c.Assert(r.body, qt.Equals, "id:1\n\nid:2\n\nid:3\n\n")
 	f.c.Assert(r.finished, qt.IsTrue)
 }
+
+// TestEventIDs guards against giving up a sound stream because of the way in which its server numbers events.
+func TestEventIDs(t *testing.T) {
+	for _, test := range []struct{ broken, next []string }{
+		{[]string{"0"}, []string{"1", "2"}},
+		{[]string{"4", "8"}, []string{"12", "16"}},
+		{[]string{"1", "2", "5"}, []string{"9", "11"}},
+		{[]string{"a", "b"}, []string{"c", "d"}},
+	} {
+		f := newFixture(t, brokenStream(test.broken...), sendResult{answer: wholeStream(test.next...)})
+		f.c.Check(f.post("/chat/1").finished, qt.IsTrue, qt.Commentf("%q", test))
+	}
+}
