gateway: a server's 503 without Not-Executed isn't passed on as a promise

What callers would see: 503, 429 or 408, that is "not run, and never will be", for an order that a server ran, if the server answers with one of these statuses and its signature but doesn't say that it did not run the request.

Cause: signed failures were passed on whatever their status, though a server's statement is the header and the caller's is the status.

Why this works: platform tells which statuses callers take for a promise, and the gateway answers for such an attempt by itself, with an unknown outcome (502).

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -305,7 +305,7 @@
 
 // endFailed answers the caller after the last attempt has failed.
 func (x *exchange) endFailed(ctx context.Context, result attemptResult) {
-	if result.answer != nil && !x.headSent {
+	if result.answer != nil && !x.headSent && !result.answer.PromisesNotRun() {
 		x.outcome = string(result.outcome)
 		x.sendAnswer(result.answer, result.body)
 		return
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -135,3 +135,15 @@
 	f.backend.results = []sendResult{answered("fine")}
 	f.c.Assert(f.post("/read/other").body, qt.Equals, "fine")
 }
+
+// TestUnprovenRefusalOfServerIsNotPassedOn guards against telling a caller that its order did not run, with the status of a
+// server that doesn't say so.
+func TestUnprovenRefusalOfServerIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{408, 429, 503} {
+		f := newFixture(t, sendResult{answer: &fakeAnswer{status: status, body: "no", promise: true}})
+		r := f.post("/order/1")
+		f.c.Check(r.status, qt.Equals, 0)
+		f.c.Assert(r.refused, qt.IsNotNil)
+		f.c.Check(r.refused.Execution, qt.Equals, refusal.Unknown)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,6 +78,8 @@
 	NotRun() bool
 	// Misdirected reports whether the address now belongs to another server.
 	Misdirected() bool
+	// PromisesNotRun reports whether callers take the status for a promise that the call did not run, and never will.
+	PromisesNotRun() bool
 	// RequestLimit returns the number of requests a second that the server takes from all entry VMs together. It reports
 	// false if the server names no limit.
 	RequestLimit() (float64, bool)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -185,15 +185,18 @@
 	end    error
 	next   int
 	origin Origin
+	// promise is set if callers take the status for a promise that the call did not run.
+	promise bool
 	// connectionClosed is set when the gateway has closed the connection.
 	connectionClosed bool
 }
 
-func (a *fakeAnswer) Status() int         { return a.status }
-func (a *fakeAnswer) Signed() bool        { return !a.unsigned }
-func (a *fakeAnswer) NotRun() bool        { return a.notRun }
-func (a *fakeAnswer) Misdirected() bool   { return a.misdirected }
-func (a *fakeAnswer) IsEventStream() bool { return a.stream }
+func (a *fakeAnswer) Status() int          { return a.status }
+func (a *fakeAnswer) Signed() bool         { return !a.unsigned }
+func (a *fakeAnswer) NotRun() bool         { return a.notRun }
+func (a *fakeAnswer) Misdirected() bool    { return a.misdirected }
+func (a *fakeAnswer) PromisesNotRun() bool { return a.promise }
+func (a *fakeAnswer) IsEventStream() bool  { return a.stream }
 
 func (a *fakeAnswer) RequestLimit() (float64, bool) { return a.limit, a.limit > 0 }
 
