gateway: a call that its caller has left is aborted, not answered with an empty 200

What callers would see: "200 OK" with an empty body and without signature, for a request that may have run, if they close only their direction of the connection while they wait (half-close).

Cause: net/http takes the end of the caller's bytes for its departure and cancels the call. The gateway then ended the handler without an answer, and net/http writes an empty 200 for a handler that has written nothing.

Why this works: the connection is aborted, as for a stream that has begun. The contract of Reply now says how each call ends.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -311,10 +311,9 @@
 		return
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
+		// The caller may have closed only its direction, and would take the end of the handler for an empty answer.
 		x.outcome = "callerGone"
-		if x.headSent {
-			x.reply.Abort()
-		}
+		x.reply.Abort()
 		return
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,7 +115,8 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
-// Reply writes the answer to the caller: a refusal, a whole answer, or a stream.
+// Reply writes the answer to the caller: a refusal, a whole answer, or a stream. Each call ends with one of Refuse, WriteAnswer,
+// Finish and Abort, or with an error of a write.
 type Reply interface {
 	// Refuse answers with a refusal by this process.
 	Refuse(e *refusal.Error) error
@@ -126,7 +127,7 @@
 	WriteEvent(raw []byte) error
 	// Finish ends a complete stream.
 	Finish()
-	// Abort ends an incomplete stream, so that the caller doesn't take it for complete.
+	// Abort ends a call without an answer, or with an incomplete stream, so that the caller doesn't take it for complete.
 	Abort()
 }
 
