io: a connection isn't used again after a refusal

What callers of the project's own interface would see: a completion reported as not run, and not charged, that an engine runs, or the 503 of another request as the answer to their order, when an engine or service writes an earlier refusal once more on a kept connection.

Cause: the answers of engines, services and the store carry no id, so a repeated refusal can't be told from the answer to the next request.

Why this works: after 4xx and 503, which by the protocols mean that nothing ran, the connection is closed with the body of the answer, unless a later request has it already. A request that gets such a connection before it is closed fails with nothing written; it now counts as not sent, so it is retried. What remains: a request that takes the connection between the end of the refusal and its close, and has begun to write. Only refusals are covered: a repeated 200 of a service still can't be told from the next answer.

--- a/io/internal/roundtrip/roundtrip.go
+++ b/io/internal/roundtrip/roundtrip.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -56,7 +55,7 @@
 			if tcp, ok := conn.(*net.TCPConn); ok && o.ReceiveBuffer > 0 {
 				_ = tcp.SetReadBuffer(o.ReceiveBuffer)
 			}
-			return conn, nil
+			return &countedConn{Conn: conn, closed: make(chan struct{})}, nil
 		},
 		MaxConnsPerHost:     o.MaxConns,
 		MaxIdleConns:        0,
@@ -70,10 +69,11 @@
 
 // Do sends req. sent is false only if the server can't have read the whole header of the request and so has not run it.
 // The transport retries a request by itself only if none of it was written: it would also retry idempotent methods and
-// requests with the header Idempotency-Key, but not with a body that it can't rewind, and Do makes every body such.
+// requests with the header Idempotency-Key, but not with a body that it can't rewind, and Do makes every body such. After a
+// response whose status means that the request did not run, the connection isn't used again.
 func Do(transport http.RoundTripper, req *http.Request) (resp *http.Response, sent bool, err error) {
-	var headerWritten atomic.Bool
-	trace := &httptrace.ClientTrace{WroteHeaders: func() { headerWritten.Store(true) }}
+	use := &connUse{}
+	trace := &httptrace.ClientTrace{GotConn: use.setConn, WroteHeaders: use.setHeaderWritten}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	req.GetBody = nil
 	if req.Body == nil || req.Body == http.NoBody {
@@ -81,7 +81,10 @@
 		req.ContentLength = 0
 	}
 	resp, err = transport.RoundTrip(req)
-	return resp, headerWritten.Load(), err
+	if err == nil && isRefusal(resp.StatusCode) {
+		resp.Body = refusalBody{ReadCloser: resp.Body, use: use}
+	}
+	return resp, err == nil || use.sent(), err
 }
 
 // emptyBody is an empty body that net/http, unlike http.NoBody, can't rewind.
