--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -39,11 +39,12 @@
 	excluded                 []string
 	// headSent is set when the head of a stream was forwarded, answerSent when any successful answer was.
 	headSent, answerSent bool
-	lastEvent            string
-	events               int64
-	firstEvent           time.Time
-	maxGap               time.Duration
-	lastEventAt          time.Time
+	// forwarded follows the events that the caller has.
+	forwarded   eventSequence
+	events      int64
+	firstEvent  time.Time
+	maxGap      time.Duration
+	lastEventAt time.Time
 	// attemptStarted and attemptEvents are the start and the number of events of the current attempt.
 	attemptStarted time.Time
 	attemptEvents  int64
@@ -152,24 +153,32 @@
 
 func (x *exchange) exchangeOnce(ctx, attemptCtx context.Context, p *placement.Placement, w *watchdog) attemptResult {
 	answer, err := x.g.cfg.Backend.Send(attemptCtx, Attempt{
-		Call: x.Call, Server: p.Server, Team: x.teamName(), Deadline: x.deadline, LastEventID: x.lastEvent, Priority: x.priority(),
+		Call: x.Call, Server: p.Server, Team: x.teamName(), Deadline: x.deadline, LastEventID: x.forwarded.last, Priority: x.priority(),
 	})
 	if err != nil {
 		return x.resultOfError(ctx, attemptCtx, err)
 	}
+	if !belongsToAttempt(answer) {
+		answer.CloseConnection()
+		return attemptResult{outcome: placement.Interrupted, arrived: true, err: errOtherRequest}
+	}
 	x.recordLimit(p.Server, answer)
-	if answer.NotRun() || answer.Misdirected() {
+	if provesNotRun(answer) {
 		outcome := placement.Rejected
 		if answer.Misdirected() {
 			outcome = placement.Misdirected
 		}
-		answer.Close()
+		closeRefused(answer)
 		return attemptResult{outcome: outcome, notRun: true, arrived: true, err: errors.New("the server did not run the call")}
 	}
 	if answer.IsEventStream() && answer.Signed() && isSuccess(answer.Status()) {
 		defer answer.Close()
 		return x.relayEvents(ctx, attemptCtx, p, answer, w)
 	}
+	if x.headSent {
+		answer.Close()
+		return resultOfOtherAnswer(answer)
+	}
 	return x.relayWhole(ctx, attemptCtx, answer)
 }
 
@@ -230,15 +239,14 @@
 	for {
 		e, err := answer.Next()
 		if err == io.EOF {
-			if !x.sendHead(answer) {
-				return attemptResult{outcome: placement.Cancelled, arrived: true, done: true}
-			}
-			x.reply.Finish()
-			return attemptResult{outcome: placement.Answered, arrived: true, done: true}
+			return x.finishStream(answer, first)
 		}
 		if err != nil {
 			return x.resultOfError(ctx, attemptCtx, err)
 		}
+		if !x.mayForward(e, first) {
+			return attemptResult{outcome: placement.Interrupted, arrived: true, err: errNoContinuation}
+		}
 		w.received()
 		if first {
 			first = false
@@ -249,7 +257,7 @@
 			return attemptResult{outcome: placement.Cancelled, arrived: true, done: true}
 		}
 		x.recordEventTime()
-		x.lastEvent = e.ID
+		x.forwarded.add(e.ID)
 		w.forwarded(e)
 		x.events++
 		x.attemptEvents++
@@ -303,7 +311,7 @@
 	switch {
 	case !result.notRun && (!x.route.Repeatable() || x.runs >= x.route.MaxRuns):
 		return retryNotRepeatable
-	case x.headSent && !x.isResumable(x.lastEvent):
+	case x.headSent && !x.isResumable(x.forwarded.last):
 		return retryNotResumable
 	case !placed && x.arrivals > 0 && !x.g.servers.takeRetry(x.service):
 		return retryNoBudget
@@ -332,7 +340,7 @@
 
 // endFailed answers the caller after the last attempt has failed.
 func (x *exchange) endFailed(ctx context.Context, result attemptResult) {
-	if result.answer != nil && !x.headSent {
+	if result.answer != nil && !x.headSent && !result.answer.PromisesNotRun() {
 		x.outcome = string(result.outcome)
 		x.sendAnswer(result.answer, result.body)
 		return
@@ -342,10 +350,9 @@
 		return
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
+		// The caller may have closed only its direction, and would take the end of the handler for an empty answer.
 		x.outcome = "callerGone"
-		if x.headSent {
-			x.reply.Abort()
-		}
+		x.reply.Abort()
 		return
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,8 +66,10 @@
 	Send(ctx context.Context, a Attempt) (Answer, error)
 }
 
-// Answer is what a backend server answered. Close must be called.
+// Answer is what a backend server answered. Close or CloseConnection must be called.
 type Answer interface {
+	// Origin tells what is known about the request that the answer belongs to.
+	Origin() Origin
 	// Status is the HTTP status.
 	Status() int
 	// Signed reports whether the server signed the answer.
@@ -76,6 +78,8 @@
 	NotRun() bool
 	// Misdirected reports whether the address now belongs to another server.
 	Misdirected() bool
+	// PromisesNotRun reports whether callers take the status for a promise that the call did not run, and never will.
+	PromisesNotRun() bool
 	// RequestLimit returns the number of requests a second that the server takes from all entry VMs together. It reports
 	// false if the server names no limit.
 	RequestLimit() (float64, bool)
@@ -86,6 +90,8 @@
 	// Next returns the next event, which is valid until the next call. It returns io.EOF at the end of a complete stream.
 	Next() (Event, error)
 	Close()
+	// CloseConnection closes the answer, and its connection unless a later attempt uses it already.
+	CloseConnection()
 }
 
 // Event is one event of a stream. Raw holds its bytes as received.
@@ -109,7 +115,8 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
-// Reply writes the answer to the caller: a refusal, a whole answer, or a stream.
+// Reply writes the answer to the caller: a refusal, a whole answer, or a stream. Each call ends with one of Refuse, WriteAnswer,
+// Finish and Abort, or with an error of a write.
 type Reply interface {
 	// Refuse answers with a refusal by this process.
 	Refuse(e *refusal.Error) error
@@ -120,7 +127,7 @@
 	WriteEvent(raw []byte) error
 	// Finish ends a complete stream.
 	Finish()
-	// Abort ends an incomplete stream, so that the caller doesn't take it for complete.
+	// Abort ends a call without an answer, or with an incomplete stream, so that the caller doesn't take it for complete.
 	Abort()
 }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -235,20 +235,28 @@
 	limit       float64
 	events      []Event
 	// end is the error after the last event, io.EOF by default.
-	end  error
-	next int
-}
-
-func (a *fakeAnswer) Status() int         { return a.status }
-func (a *fakeAnswer) Signed() bool        { return !a.unsigned }
-func (a *fakeAnswer) NotRun() bool        { return a.notRun }
-func (a *fakeAnswer) Misdirected() bool   { return a.misdirected }
-func (a *fakeAnswer) IsEventStream() bool { return a.stream }
+	end    error
+	next   int
+	origin Origin
+	// promise is set if callers take the status for a promise that the call did not run.
+	promise bool
+	// connectionClosed is set when the gateway has closed the connection.
+	connectionClosed bool
+}
+
+func (a *fakeAnswer) Status() int          { return a.status }
+func (a *fakeAnswer) Signed() bool         { return !a.unsigned }
+func (a *fakeAnswer) NotRun() bool         { return a.notRun }
+func (a *fakeAnswer) Misdirected() bool    { return a.misdirected }
+func (a *fakeAnswer) PromisesNotRun() bool { return a.promise }
+func (a *fakeAnswer) IsEventStream() bool  { return a.stream }
 
 func (a *fakeAnswer) RequestLimit() (float64, bool) { return a.limit, a.limit > 0 }
 
 func (a *fakeAnswer) Body(int64) ([]byte, error) { return []byte(a.body), a.end }
 func (a *fakeAnswer) Close()                     {}
+func (a *fakeAnswer) CloseConnection()           { a.connectionClosed = true }
+func (a *fakeAnswer) Origin() Origin             { return a.origin }
 
 func (a *fakeAnswer) Next() (Event, error) {
 	if a.next < len(a.events) {
@@ -295,14 +303,21 @@
 	body     string
 	finished bool
 	aborted  bool
+	// heads counts the heads of answers.
+	heads int
 }
 
 func (r *recorder) Refuse(e *refusal.Error) error { r.refused = e; return nil }
 func (r *recorder) WriteAnswer(a Answer, body []byte) error {
-	r.status, r.body = a.Status(), string(body)
+	r.status, r.body = a.Status(), r.body+string(body)
+	r.heads++
+	return nil
+}
+func (r *recorder) WriteHead(a Answer) error {
+	r.status = a.Status()
+	r.heads++
 	return nil
 }
-func (r *recorder) WriteHead(a Answer) error    { r.status = a.Status(); return nil }
 func (r *recorder) WriteEvent(raw []byte) error { r.body += string(raw); return nil }
 func (r *recorder) Finish()                     { r.finished = true }
 func (r *recorder) Abort()                      { r.aborted = true }
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -42,7 +42,7 @@
 
 // startWatchdog watches the attempt at p. It never fires for calls that mustn't run again.
 func (x *exchange) startWatchdog(ctx context.Context, p placement.Placement, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{x: x, ctx: ctx, server: p.Server.ID, cancel: cancel, resumable: !x.headSent || x.isResumable(x.lastEvent)}
+	w := &watchdog{x: x, ctx: ctx, server: p.Server.ID, cancel: cancel, resumable: !x.headSent || x.isResumable(x.forwarded.last)}
 	if !x.route.Repeatable() || x.runs+1 >= x.route.MaxRuns {
 		return w
 	}
