gateway: a restored store doesn't undo version changes or hide their outcome

What callers and operators would see: a version change runs back or again after the store came back from a copy, as its steps are lost; the operator is never told the outcome; and an order given after the restoration is ignored, as its record has a lower offset than the one before. Found by looking for the same cause elsewhere.

Cause: the steps in the store were the only memory of changes, and the order of the operator's orders was that of their offsets.

Evidence: TestRestoredLogUndoesRollout and TestOrderAfterRestorationIsIgnored fail without this change (no state told again in 5 s; the order never opened).

The version of an order holds the era above the offset. An order that is written again is the same one; so is, for an entry VM that started since, the first order of an era for the target of the last change.

--- a/gateway/catalog.go
+++ b/gateway/catalog.go
@@ -20,8 +20,8 @@
 	current atomic.Pointer[catalog.Catalog]
 	// changed is called after a new configuration was applied.
 	changed func()
-	// ordered is called with each order of a roll-out and its offset.
-	ordered func(o catalog.Rollout, offset uint64)
+	// ordered is called with each order of a roll-out and its version.
+	ordered func(o catalog.Rollout, version uint64)
 	follow  follower
 }
 
@@ -56,7 +56,7 @@
 	case *catalog.Catalog:
 		c.replace(o, r.Offset)
 	case *catalog.Rollout:
-		c.ordered(*o, r.Offset)
+		c.ordered(*o, orderVersion(c.follow.era, r.Offset))
 	}
 }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -338,6 +338,8 @@
 	backend      *scriptedBackend
 	gateway      *Gateway
 	changeConfig func(*Config)
+	// beforeOrder, if set, is called before a roll-out is ordered.
+	beforeOrder func()
 }
 
 const testHost = "a.example"
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -9,9 +10,11 @@
 	qt "github.com/frankban/quicktest"
 
 	"ibiswinch/core/call"
+	"ibiswinch/core/catalog"
 	"ibiswinch/core/escrow"
 	"ibiswinch/core/keyed"
 	"ibiswinch/core/placement"
+	"ibiswinch/core/rollout"
 	"ibiswinch/io/apexlog"
 )
 
@@ -185,3 +188,50 @@
 	f.log.restore(ends, nil)
 	f.waitFor("record written again", func() bool { return f.log.end(keyed.Crashes) > 0 })
 }
+
+// TestRestoredLogUndoesRollout guards against a roll-out that is undone, or run again, because the log has lost its steps,
+// and against an operator who is never told how it ended.
+func TestRestoredLogUndoesRollout(t *testing.T) {
+	b := &versionBackend{delays: map[string]time.Duration{"v1": 5 * time.Millisecond, "v2": 5 * time.Millisecond}, calls: map[string]int{}}
+	f := newFixtureWith(t, func(cfg *Config) { cfg.Backend = b })
+	var ends map[keyed.Partition]int
+	f.beforeOrder = func() { ends = f.log.ends() }
+	state, _, vms := f.runRollout(b)
+	f.c.Assert(state, qt.Equals, rollout.StateDone)
+	f.log.restore(ends, nil)
+	f.c.Assert(f.rolloutStatusOf("s"), qt.Equals, rollout.State(""))
+	f.waitFor("state told again", func() bool { return f.rolloutStatusOf("s") == rollout.StateDone })
+	steps := f.log.end(keyed.Rollouts)
+	f.c.Assert(steps > 0, qt.IsTrue)
+	vms = append(vms, f.start("vm-3"))
+	clear(b.calls)
+	for n := range 60 {
+		f.serveWithID(vms[n%3], &call.Call{Path: "/chat/1"}, fmt.Sprint("later-", n))
+	}
+	f.c.Assert(b.calls["v1"], qt.Equals, 0)
+	f.c.Assert(f.rolloutStatusOf("s"), qt.Equals, rollout.StateDone)
+}
+
+// TestOrderAfterRestorationIsIgnored guards against an order of the operator that seems older than the one before, as its
+// record has a lower offset in the restored log.
+func TestOrderAfterRestorationIsIgnored(t *testing.T) {
+	f := newFixture(t)
+	ends := f.log.ends()
+	for range 5 {
+		f.log.put(keyed.Operations, "config", testCatalog(1, 100_000))
+	}
+	f.log.put(keyed.Operations, rolloutKey, catalog.Rollout{Service: "s", Target: "v2", Duration: time.Minute})
+	f.waitFor("order", func() bool { return f.rolloutStatusOf("s") == rollout.StateOpen })
+	f.log.restore(ends, nil)
+	f.log.drop(keyed.Operations, ends)
+	f.log.put(keyed.Operations, rolloutKey, catalog.Rollout{Service: "s", Target: "v3", Duration: time.Minute})
+	f.waitFor("order of the new era", func() bool { return f.orderedVersion("s") == "v3" })
+}
+
+// orderedVersion returns the version of the newest change of a service.
+func (f *fixture) orderedVersion(service string) string {
+	f.gateway.rollouts.mu.Lock()
+	defer f.gateway.rollouts.mu.Unlock()
+	latest, _ := f.gateway.rollouts.changes.Latest(service)
+	return latest.Rule.New
+}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -73,6 +73,9 @@
 	sequence uint64
 	statuses []pendingStatus
 	running  map[string]bool
+	// history holds the known steps. restored is set until the first snapshot of a log that was restored from a copy.
+	history  stepHistory
+	restored bool
 }
 
 func newRolloutController(cfg Config, servers *serverController, fleet *fleetController) *rolloutController {
@@ -85,6 +88,7 @@
 	}
 	r.follow = follower{
 		cfg: cfg, partition: keyed.Partition{Stream: keyed.Rollouts}, wait: fleet.readWait, apply: r.apply, snapshot: r.snapshot,
+		onEra: r.onEra,
 	}
 	return r
 }
@@ -130,18 +134,18 @@
 	return slices.ContainsFunc(r.changes.All(), func(c rollout.Change) bool { return c.State == rollout.StateOpen })
 }
 
-// addOrder records an order of the operator, which was read at offset.
-func (r *rolloutController) addOrder(o catalog.Rollout, offset uint64) {
+// addOrder records an order of the operator.
+func (r *rolloutController) addOrder(o catalog.Rollout, version uint64) {
 	now := r.fleet.timeOfDay()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if old, found := r.orders[o.Service]; found && old.version > offset {
+	if old, found := r.orders[o.Service]; found && (old.version >= version || old.repeats(o, version)) {
 		return
 	}
-	r.orders[o.Service] = order{Rollout: o, version: offset + 1, deadline: now.Add(o.Duration)}
+	r.orders[o.Service] = order{Rollout: o, version: version, deadline: now.Add(o.Duration)}
 	r.newOrders = true
 	r.cfg.Events.Event(event.RolloutOrdered, apexlog.Fields{
-		"service": o.Service, "version": o.Target, "duration": o.Duration.String(), "offset": offset,
+		"service": o.Service, "version": o.Target, "duration": o.Duration.String(), "order": version,
 	})
 }
 
@@ -153,7 +157,7 @@
 		rule := rollout.Rule{
 			Model: o.Service, Old: r.servers.commonVersion(o.Service, o.Target), New: o.Target, Deadline: o.deadline, Stages: rolloutStages(),
 		}
-		if last, found := r.changes.Latest(o.Service); found && last.ConfigVersion >= o.version {
+		if last, found := r.changes.Latest(o.Service); found && (last.ConfigVersion >= o.version || o.isRepeated(last)) {
 			rule = last.Rule
 		} else if rule.Old == "" {
 			// No server of another version is known yet.
@@ -308,6 +312,7 @@
 func (r *rolloutController) apply(in keyed.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.history.add(in)
 	r.fold(in)
 	r.observe()
 }
@@ -318,16 +323,21 @@
 	r.execute(now, r.controller.Observe(now, r.changes))
 }
 
-// snapshot folds the newest record of each step in the order of the log.
+// snapshot folds the known steps in the order of the log. Those that the log has lost are written again.
 func (r *rolloutController) snapshot(records []keyed.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	lost := r.history.merge(records)
 	r.changes = rollout.NewChanges()
-	slices.SortFunc(records, func(a, b keyed.Record) int { return cmp.Compare(a.Offset, b.Offset) })
-	for _, in := range records {
-		r.fold(in)
+	for _, step := range r.history.steps {
+		r.fold(step)
 	}
 	r.observe()
+	if r.restored {
+		r.restored = false
+		r.pending = append(r.pending, lost...)
+		r.reportAgain(r.fleet.timeOfDay())
+	}
 	r.loaded = true
 }
 
--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -56,6 +56,9 @@
 		f.log.put(keyed.Servers, id, placement.Server{ID: id, Service: "s", Zone: "z", Version: "v2"})
 	}
 	vms := []*Gateway{f.gateway, f.start("vm-2")}
+	if f.beforeOrder != nil {
+		f.beforeOrder()
+	}
 	f.log.put(keyed.Operations, rolloutKey, catalog.Rollout{Service: "s", Target: "v2", Duration: 5 * time.Second})
 	f.waitFor("order", func() bool { return f.rolloutStatusOf("s") == rollout.StateOpen })
 	clear(b.calls)
