gateway: a process that starts into a restored store waits until it knows the others

What callers would see: a team gets more than its budget. A process that started just after a restoration found neither reservations nor heartbeats in the copy, took itself for the only entry VM, and reserved at once what others had in use.

Cause: the list of entry VMs is restored, too. Who is missing there was not waited for.

Entry VMs whose last heartbeat is 12 s older than the newest in the list no longer count as live at a start, so that those that left long ago aren't waited for.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -30,6 +30,11 @@
 	minHeartbeatInterval = 200 * time.Millisecond
 	// memberTimeout is how long an entry VM counts as live after its last heartbeat.
 	memberTimeout = 8 * time.Second
+	// maxListedAge is how much older than the newest one the last heartbeat of a live entry VM may be in a list. It covers
+	// memberTimeout and clocks that have jumped.
+	maxListedAge = 12 * time.Second
+	// firstEra is the era of a log that was never restored.
+	firstEra keyed.Era = 1
 	// maxClockError covers the time until a heartbeat is read and the differences between correct clocks.
 	maxClockError = startupReadInterval + 200*time.Millisecond
 	// minKnownClocks is the number of other entry VMs whose clocks must be known before the fleet's time is trusted.
@@ -119,8 +124,10 @@
 	primaries map[string][]string
 	// loaded is set once the last heartbeats of the others were read; before that no primaries are chosen.
 	loaded bool
-	// restored holds the eras that the members have confirmed in heartbeats.
-	restored map[string]keyed.Era
+	// restored holds the eras that the members have confirmed in heartbeats. established is set once a snapshot had a
+	// heartbeat of its own era.
+	restored    map[string]keyed.Era
+	established bool
 	// calls holds the calls that the other entry VMs had lately, by name and service.
 	calls map[string]map[string]int
 	// leaving is set when this entry VM stops.
@@ -235,33 +242,55 @@
 }
 
 // snapshot applies the last heartbeats of all entry VMs. They may be old, so they tell nothing about the clocks, and only
-// the first snapshot shows entry VMs that live.
+// the first snapshot shows entry VMs that live. Those that are gone are listed for good.
 func (f *fleetController) snapshot(records []keyed.Record) {
+	listed := map[string]heartbeat{}
 	for _, r := range records {
-		if f.mayLive(r.Key) {
-			f.set(r, false)
+		if h, ok := f.decode(r); ok {
+			listed[r.Key] = h
 		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	oldest := latestTime(f.cfg.Now(), listed).Add(-max(maxListedAge, 2*announceInterval(len(listed))))
+	for name, h := range listed {
+		if h.Restored != nil && *h.Restored >= f.follow.era {
+			f.established = true
+		}
+		if _, known := f.members[name]; known || !f.loaded && !time.UnixMilli(h.Time).Before(oldest) {
+			f.set(name, h, false)
+		}
+	}
 	f.loaded = true
 	clear(f.primaries)
 }
 
-// mayLive reports whether an entry VM may live that is listed in a snapshot. One that is already known to be gone is listed
-// for good.
-func (f *fleetController) mayLive(name string) bool {
+// latestTime returns the time of the newest heartbeat, without those of clocks that are far ahead.
+func latestTime(now time.Time, heartbeats map[string]heartbeat) time.Time {
+	var latest time.Time
+	for _, h := range heartbeats {
+		if at := time.UnixMilli(h.Time); at.After(latest) && at.Before(now.Add(maxListedAge)) {
+			latest = at
+		}
+	}
+	return latest
+}
+
+func (f *fleetController) apply(r keyed.Record) {
+	h, ok := f.decode(r)
+	if !ok {
+		return
+	}
+	if r.Key != f.cfg.Name {
+		f.servers.setPeerLimits(r.Key, h.Limits)
+		f.rollouts.merge(r.Key, h.Evidence)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, known := f.members[name]
-	return known || !f.loaded
+	f.set(r.Key, h, true)
 }
 
-func (f *fleetController) apply(r keyed.Record) { f.set(r, true) }
-
-// set applies one heartbeat. fresh is set if it was read soon after it was written, so that it tells the time of the
-// sender's clock.
-func (f *fleetController) set(r keyed.Record, fresh bool) {
+func (f *fleetController) decode(r keyed.Record) (heartbeat, bool) {
 	var h heartbeat
 	err := json.Unmarshal(r.Value, &h)
 	if err == nil {
@@ -269,30 +298,29 @@
 	}
 	if err != nil {
 		f.cfg.logSkipped(r, err)
-		return
-	}
-	if fresh && r.Key != f.cfg.Name {
-		f.servers.setPeerLimits(r.Key, h.Limits)
-		f.rollouts.merge(r.Key, h.Evidence)
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	return h, err == nil
+}
+
+// set applies one heartbeat. fresh is set if it was read soon after it was written, so that it tells the time of the
+// sender's clock. The caller holds mu.
+func (f *fleetController) set(name string, h heartbeat, fresh bool) {
 	now := f.cfg.Now()
-	f.members[r.Key] = now
+	f.members[name] = now
 	if h.Restored != nil {
-		f.restored[r.Key] = *h.Restored
+		f.restored[name] = *h.Restored
 	} else if fresh {
 		// The sender has read nothing of the ledger before this era.
-		f.restored[r.Key] = f.follow.era
+		f.restored[name] = f.follow.era
 	}
-	f.calls[r.Key] = h.Calls
-	if addr, err := netip.ParseAddrPort(h.Address); err == nil && r.Key != f.cfg.Name {
-		f.addresses[r.Key] = addr
-		f.setZone(r.Key, h)
+	f.calls[name] = h.Calls
+	if addr, err := netip.ParseAddrPort(h.Address); err == nil && name != f.cfg.Name {
+		f.addresses[name] = addr
+		f.setZone(name, h)
 	}
-	if fresh && r.Key != f.cfg.Name {
-		f.answerNewIncarnation(r.Key, h.Incarnation)
-		f.clockOffsets[r.Key] = time.UnixMilli(h.Time).Sub(now.Round(0))
+	if fresh && name != f.cfg.Name {
+		f.answerNewIncarnation(name, h.Incarnation)
+		f.clockOffsets[name] = time.UnixMilli(h.Time).Sub(now.Round(0))
 	}
 }
 
@@ -321,13 +349,18 @@
 		return false
 	}
 	now := f.cfg.Now()
+	others := 0
 	for name, seen := range f.members {
-		restored, known := f.restored[name]
-		if name != f.cfg.Name && now.Sub(seen) < memberTimeout && (!known || restored < era) {
+		if name == f.cfg.Name || now.Sub(seen) >= memberTimeout {
+			continue
+		}
+		others++
+		if restored, known := f.restored[name]; !known || restored < era {
 			return false
 		}
 	}
-	return true
+	// Without other entry VMs, and without a heartbeat of this era, the list may be of a time before they started.
+	return others > 0 || f.established || era <= firstEra
 }
 
 // count is the number of live entry VMs, this one included. It removes those whose heartbeats have stopped.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -164,6 +164,12 @@
 	return l.latestCalls[s] == snapshots && l.lastFrom[s] == from
 }
 
+func (l *memoryLog) setEra(era keyed.Era) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.era = era
+}
+
 // restore returns to the state with the given ends in the next era. The records of the operator and of the backend
 // servers are appended again, after extra records.
 func (l *memoryLog) restore(ends map[keyed.Partition]int, extra map[keyed.Stream][]keyed.Record) {
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -118,6 +118,23 @@
 	f.c.Assert(sum <= 100_000, qt.IsTrue, qt.Commentf("%d tokens", sum))
 }
 
+// TestProcessStartsIntoEmptyLedger guards against tokens that are reserved a second time by a process that starts right after
+// a restoration, when neither the reservations nor the other entry VMs are listed.
+func TestProcessStartsIntoEmptyLedger(t *testing.T) {
+	f, _ := newRestoredFixture(t)
+	f.log.setEra(5)
+	f.waitFor("era", func() bool { return !f.gateway.budgets.isPuttingBack() && *f.gateway.budgets.restoredEra() == 5 })
+	sum := f.spend(60_000, f.gateway)
+	f.log.restore(nil, nil)
+	started := f.start("vm-3")
+	f.waitWithin(2*escrow.PutBackTimeout, "reserving again", func() bool {
+		sum += f.spend(200_000, started)
+		return !started.budgets.isPuttingBack() && !f.gateway.budgets.isPuttingBack()
+	})
+	sum += f.spend(200_000, started, f.gateway)
+	f.c.Assert(sum <= 100_000, qt.IsTrue, qt.Commentf("%d tokens", sum))
+}
+
 // usedBy returns the charge that the ledger shows for a holder.
 func (b *budgetController) usedBy(team, holder string) int64 {
 	lp := b.partitionOf(team)
