gateway: entry VMs that have read nothing yet aren't waited for in the first era

Found by a run of the gateway's tests beside load: TestLimitedServerGetsMoreThanItTakes failed once of eight, a call was refused 0.2 s after the start of the second entry VM. A first heartbeat is sent before the ledger is read, and in a list it doesn't show that its sender has nothing to put back. In an era of a log that was never restored that can't matter.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -341,7 +341,8 @@
 	}
 }
 
-// haveRestored reports whether all other live entry VMs have confirmed an era of the log.
+// haveRestored reports whether all other live entry VMs have confirmed an era of the log. In its first era, those that
+// haven't read it yet have nothing to put back.
 func (f *fleetController) haveRestored(era keyed.Era) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -355,7 +356,8 @@
 			continue
 		}
 		others++
-		if restored, known := f.restored[name]; !known || restored < era {
+		restored, known := f.restored[name]
+		if known && restored < era || !known && era > firstEra {
 			return false
 		}
 	}
