--- a/cmd/ibiswinch/drain.go
+++ b/cmd/ibiswinch/drain.go
@@ -36,7 +36,7 @@
 	reserve := min(gracePeriod/exitReserveDivisor, maxExitReserve)
 	giveUpAt := start.Add(gracePeriod - reserve)
 	return drainTimes{
-		lastCallAt: start.Add(drainDelay), closeIdleAt: start.Add(closeIdleDelay), giveUpAt: giveUpAt,
+		lastCallAt: start.Add(min(drainDelay, gracePeriod-reserve)), closeIdleAt: start.Add(closeIdleDelay), giveUpAt: giveUpAt,
 		answeredAt: giveUpAt.Add(reserve / 4), returnedAt: giveUpAt.Add(reserve * 3 / 4),
 	}
 }
@@ -81,15 +81,8 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
-	go p.runShutdown(ctx, callerServer)
 	p.gateway.GiveUp()
-	for p.openConnections.Load() > 0 && ctx.Err() == nil {
-		time.Sleep(drainPollInterval / 4)
-	}
-}
-
-// runShutdown closes the listener at once and each connection when its answer is sent, until ctx ends.
-func (p *platformProcess) runShutdown(ctx context.Context, callerServer *http.Server) {
+	// Shutdown closes the listener at once and each connection when its answer is sent.
 	if err := callerServer.Shutdown(ctx); err != nil && !eris.Is(err, context.DeadlineExceeded) {
 		p.events.Event(event.HandlerPanicked, apexlog.Fields{"error": err.Error()})
 	}
--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -85,6 +85,9 @@
 	waiting int64
 }
 
+// Unconditional is the expected end of a write that may be applied at any end of the partition.
+const Unconditional = math.MaxUint64
+
 // pendingWrite is a record sent to the store on the condition that the partition with the records of the team ends at
 // offset expectedEnd.
 type pendingWrite struct {
@@ -96,7 +99,7 @@
 // NewAccount returns the account of an entry VM that starts. All that its previous process reserved counts as used
 // until Recover is called. The rate starts at the recorded one, since the same callers come back. r was read in era.
 func NewAccount(now time.Time, holder string, r Record, era uint64) *Account {
-	a := &Account{holder: holder, confirmed: r, sentAt: now, spent: r.Reserved + r.Credit, credit: r.Credit, initialCharge: r.Reserved, sequence: r.Sequence, era: era}
+	a := &Account{holder: holder, confirmed: r, sentAt: now, spent: r.Reserved + r.Credit, credit: r.Credit, initialCharge: r.Reserved, sequence: firstSequence(now, r), era: era}
 	a.rate, a.rateAt = float64(r.Rate), now
 	if r.Reserved > r.Base {
 		a.previous = &r
@@ -104,6 +107,15 @@
 	return a
 }
 
+// processSequenceBits is the number of bits of a sequence number that count the writes of a process. The others hold the
+// time of its start in Unix milliseconds, so that no write of an earlier process, however late, counts as newer.
+const processSequenceBits = 16
+
+// firstSequence returns the number that the writes of a process follow which starts at now with the record r.
+func firstSequence(now time.Time, r Record) uint64 {
+	return max(uint64(max(now.UnixMilli(), 0))<<processSequenceBits, r.Sequence+1)
+}
+
 // Recover takes back what the previous process can't have used and returns the number of tokens. age bounds the time
 // between its last record and its end.
 func (a *Account) Recover(age time.Duration) int64 {
@@ -270,7 +282,11 @@
 	case i >= 0:
 		a.confirmed, a.sentAt, a.writeAccepted = r, a.pending[i].sentAt, true
 		a.unstated = false
-	case r != a.confirmed && (r.Sequence > a.confirmed.Sequence || r.Sequence == 0 && a.sequence == 0):
+		// An earlier restatement reserves and returns nothing, so it doesn't matter when it is applied.
+		a.pending = slices.DeleteFunc(a.pending, func(w pendingWrite) bool {
+			return w.record == r || w.expectedEnd == Unconditional && w.record.Sequence < r.Sequence
+		})
+	case r != a.confirmed && (r.Sequence > a.confirmed.Sequence || r.Sequence == 0):
 		a.adoptLateWrite(r)
 	}
 	a.pending = slices.DeleteFunc(a.pending, func(w pendingWrite) bool { return w.expectedEnd < end })
@@ -282,6 +298,10 @@
 func (a *Account) adoptLateWrite(r Record) {
 	if a.previous != nil || r.Era != a.era {
 		reserved, credit := r.Reserved-a.confirmed.Reserved, r.Credit-a.confirmed.Credit
+		if a.previous == nil {
+			// What the confirmed record reserved may have been recovered already.
+			reserved = max(reserved, 0)
+		}
 		a.spent += reserved + credit
 		a.credit += credit
 		a.initialCharge += reserved
--- a/core/escrow/decode.go
+++ b/core/escrow/decode.go
@@ -12,8 +12,8 @@
 	// maxTokens bounds the amounts of a record, so that the sums over all holders of a team and their percentages don't
 	// overflow.
 	maxTokens = 1 << 50
-	// maxSequence bounds the number of a write; a holder writes a few records a second.
-	maxSequence = 1 << 53
+	// maxSequence bounds the number of a write. It holds the time of the start of a process up to the year 9999.
+	maxSequence = 1 << 62
 )
 
 // ErrInvalidRecord is wrapped by the errors of decoding a record that no entry VM has written.
--- a/core/escrow/pending_test.go
+++ b/core/escrow/pending_test.go
@@ -22,3 +22,28 @@
 	a.WriteSent(now, 0, plan.Record)
 	c.Assert(a.Available(now), qt.Equals, int64(3000))
 }
+
+// TestRestatedReservationIsStuck guards against an account whose tokens stay out of reach once it has written its record
+// again into a restored store.
+func TestRestatedReservationIsStuck(t *testing.T) {
+	c := qt.New(t)
+	const limit = 100_000
+	policy := escrow.Policy{IdleReserve: 3000, MaxBurst: 50_000, MinRate: 400, RefreshInterval: time.Second}
+	now := time.Unix(1000, 0)
+	var reservations escrow.Reservations
+	a := escrow.NewAccount(now, "vm-1", escrow.Record{}, 1)
+	write := func(plan escrow.Plan, expectedEnd, end uint64) {
+		a.WriteSent(now, expectedEnd, plan.Record)
+		reservations.Set("vm-1", plan.Record)
+		a.Observe(plan.Record, end)
+	}
+	write(a.Plan(now, now, policy, limit, &reservations), 0, 1)
+	a.Restored(2)
+	// The outcome of the first restatement stays unknown.
+	a.WriteSent(now, escrow.Unconditional, a.Restate(now).Record)
+	write(a.Restate(now), escrow.Unconditional, 2)
+	c.Assert(a.Unstated(), qt.IsFalse)
+	a.AddWaiting(9000)
+	write(a.Plan(now, now, policy, limit, &reservations), 2, 3)
+	c.Assert(a.Admit(now, 9000), qt.IsTrue)
+}
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -110,16 +110,12 @@
 	return slices.ContainsFunc(b.partitions, (*ledgerPartition).isPuttingBack)
 }
 
-// restoredEra is the latest era in which all partitions have had all the records that this entry VM knows, nil if it has
-// read none of some partition.
+// restoredEra is the latest era in which all partitions that were read have had all the records that this entry VM knows,
+// nil if none was read.
 func (b *budgetController) restoredEra() *keyed.Era {
 	var first *keyed.Era
 	for _, lp := range b.partitions {
-		era := lp.restoredEra()
-		if era == nil {
-			return nil
-		}
-		if first == nil || *era < *first {
+		if era := lp.restoredEra(); era != nil && (first == nil || *era < *first) {
 			first = era
 		}
 	}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -28,7 +28,7 @@
 	heartbeatIntervalPerVM = 30 * time.Millisecond
 	// minHeartbeatInterval is the least interval when heartbeats are sent early for entry VMs that have just started.
 	minHeartbeatInterval = 200 * time.Millisecond
-	// memberTimeout is how long an entry VM counts as live after its last heartbeat.
+	// memberTimeout is how long an entry VM counts as live after its last heartbeat, in a small fleet.
 	memberTimeout = 8 * time.Second
 	// maxListedAge is how much older than the newest one the last heartbeat of a live entry VM may be in a list. It covers
 	// memberTimeout and clocks that have jumped.
@@ -187,28 +187,31 @@
 	return max(evidenceInterval, time.Duration(f.count())*heartbeatIntervalPerVM)
 }
 
-// runAnnounce appends heartbeats until ctx ends. One that fails is retried only while others wait for it: the next one
-// has the same content.
+// runAnnounce appends heartbeats until ctx ends. One that fails is retried only if it was requested: the next one has the
+// same content.
 func (f *fleetController) runAnnounce(ctx context.Context) error {
+	requested := false
 	for ctx.Err() == nil {
-		if err := f.announce(ctx); err != nil && f.budgets.isPuttingBack() {
+		if err := f.announce(ctx); err != nil && requested {
 			f.requestAnnounce()
 		}
 		pause(ctx, minHeartbeatInterval)
-		f.awaitNextHeartbeat(ctx)
+		requested = f.awaitNextHeartbeat(ctx)
 	}
 	return ctx.Err()
 }
 
-// awaitNextHeartbeat waits until the next heartbeat is due or an early one is requested.
-func (f *fleetController) awaitNextHeartbeat(ctx context.Context) {
+// awaitNextHeartbeat waits until the next heartbeat is due or an early one is requested, and reports whether one is.
+func (f *fleetController) awaitNextHeartbeat(ctx context.Context) bool {
 	timer := time.NewTimer(f.nextInterval(announceInterval(f.count())) - minHeartbeatInterval)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-f.announceNow:
+		return true
 	}
+	return false
 }
 
 // announceInterval is the time between two heartbeats of each of n entry VMs.
@@ -341,6 +344,9 @@
 	}
 }
 
+// memberTimeoutOf returns how long an entry VM counts as live after its last heartbeat in a fleet of n.
+func memberTimeoutOf(n int) time.Duration { return max(memberTimeout, 2*announceInterval(n)) }
+
 // haveRestored reports whether all other live entry VMs have confirmed an era of the log. In its first era, those that
 // haven't read it yet have nothing to put back.
 func (f *fleetController) haveRestored(era keyed.Era) bool {
@@ -349,10 +355,10 @@
 	if !f.loaded {
 		return false
 	}
-	now := f.cfg.Now()
+	now, timeout := f.cfg.Now(), memberTimeoutOf(len(f.members))
 	others := 0
 	for name, seen := range f.members {
-		if name == f.cfg.Name || now.Sub(seen) >= memberTimeout {
+		if name == f.cfg.Name || now.Sub(seen) >= timeout {
 			continue
 		}
 		others++
@@ -369,12 +375,12 @@
 func (f *fleetController) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.cfg.Now()
+	now, timeout := f.cfg.Now(), memberTimeoutOf(len(f.members))
 	n := 0
 	for name, seen := range f.members {
 		switch {
 		case name == f.cfg.Name:
-		case f.logDown || now.Sub(seen) < memberTimeout:
+		case f.logDown || now.Sub(seen) < timeout:
 			n++
 		default:
 			delete(f.calls, name)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -61,7 +61,6 @@
 
 func (f *follower) handleError(err error) {
 	if errors.Is(err, keyed.ErrTrimmed) {
-		f.started = false
 		f.cfg.Events.Event(event.SnapshotNeeded, f.fields())
 		return
 	}
@@ -99,6 +98,9 @@
 		wait = f.wait()
 	}
 	batch, err := f.cfg.Log.Read(ctx, f.partition, f.next, wait)
+	if errors.Is(err, keyed.ErrTrimmed) {
+		f.started = false
+	}
 	if err != nil {
 		return err
 	}
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -38,6 +38,8 @@
 	// reserved, restoreAnnounced once all was written again in the era.
 	putBack                      escrow.PutBack
 	mayReserve, restoreAnnounced bool
+	// eraRead is set once the first snapshot of the era was applied.
+	eraRead bool
 	// lastRestoredEra is the last era in which all was written again, nil before the first.
 	lastRestoredEra *keyed.Era
 	// logDown is set while the log is unavailable.
@@ -77,7 +79,7 @@
 func (lp *ledgerPartition) account(team string) *escrow.Account {
 	a := lp.accounts[team]
 	if a == nil {
-		a = escrow.NewAccount(lp.budgets.cfg.Now(), lp.budgets.cfg.Name, lp.recordsOf(team).Record(lp.budgets.cfg.Name), uint64(lp.follow.era))
+		a = escrow.NewAccount(lp.budgets.cfg.Now(), lp.budgets.cfg.Name, lp.recordsOf(team).Record(lp.budgets.cfg.Name), lp.putBack.Era())
 		lp.accounts[team] = a
 		lp.recover(team, a)
 	}
@@ -91,7 +93,7 @@
 	if !inherited {
 		return
 	}
-	if record.Era != uint64(lp.follow.era) {
+	if record.Era != lp.putBack.Era() {
 		// Its newest record may be lost with the log of an earlier era.
 		if lp.mayReserve {
 			a.Forfeit()
@@ -262,7 +264,7 @@
 			}
 		}
 	}
-	lp.ready = true
+	lp.ready, lp.eraRead = true, true
 	lp.notifyWaiters()
 }
 
--- a/gateway/putback.go
+++ b/gateway/putback.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"maps"
-	"math"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"ibiswinch/core/escrow"
 	"ibiswinch/core/event"
 	"ibiswinch/core/keyed"
 	"ibiswinch/io/apexlog"
@@ -23,8 +23,6 @@
 	putBackIntervalPerVM = 2 * time.Millisecond
 	// maxPutBackRecords bounds the records of one append, so that it stays far below the store's limit of 2 MB.
 	maxPutBackRecords = 2000
-	// unconditional is the expected end of an append that may be applied at any offset.
-	unconditional = math.MaxUint64
 )
 
 // beginEra prepares for the first snapshot of an era. A process that has read no earlier era has nothing to put back.
@@ -33,7 +31,7 @@
 	defer lp.mu.Unlock()
 	era := uint64(lp.follow.era)
 	lp.putBack.Begin(now, era)
-	lp.mayReserve, lp.restoreAnnounced = false, false
+	lp.mayReserve, lp.restoreAnnounced, lp.eraRead = false, false, false
 	for _, a := range lp.accounts {
 		a.Restored(era)
 	}
@@ -68,7 +66,7 @@
 
 // isRestored reports whether the log has all the records that this entry VM knows. The caller holds mu.
 func (lp *ledgerPartition) isRestored() bool {
-	if !lp.putBack.IsDone() {
+	if !lp.eraRead || !lp.putBack.IsDone() {
 		return false
 	}
 	for _, a := range lp.accounts {
@@ -112,14 +110,13 @@
 // decideReserving decides whether tokens may be reserved.
 func (lp *ledgerPartition) decideReserving() bool {
 	era := lp.follow.era
+	if lp.announceRestored() {
+		lp.budgets.fleet.requestAnnounce()
+	}
 	othersDone := lp.budgets.fleet.haveRestored(era)
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
 	now := lp.budgets.cfg.Now()
-	if restored := lp.isRestored(); restored && !lp.restoreAnnounced {
-		lp.restoreAnnounced = true
-		lp.budgets.fleet.requestAnnounce()
-	}
 	if !lp.mayReserve && lp.isRestored() && lp.putBack.MayReserve(now, othersDone) {
 		lp.mayReserve = true
 		lp.notifyWaiters()
@@ -130,6 +127,27 @@
 	return lp.mayReserve
 }
 
+// announceRestored reports, once in an era, that the log has all the records that this entry VM knows.
+func (lp *ledgerPartition) announceRestored() bool {
+	lp.mu.Lock()
+	defer lp.mu.Unlock()
+	if lp.restoreAnnounced || !lp.isRestored() {
+		return false
+	}
+	lp.restoreAnnounced = true
+	return true
+}
+
+// waitsForOthers reports whether this entry VM has put back what it knows and others haven't yet, so that there is nothing
+// to read.
+func (lp *ledgerPartition) waitsForOthers() bool {
+	lp.mu.Lock()
+	waiting := !lp.mayReserve && lp.isRestored() && lp.putBack.Waited(lp.budgets.cfg.Now()) < escrow.PutBackTimeout
+	era := keyed.Era(lp.putBack.Era())
+	lp.mu.Unlock()
+	return waiting && !lp.eraChanged.Load() && !lp.budgets.fleet.haveRestored(era)
+}
+
 // restateOwn writes the records of this process that a restored log may lack and returns their number. They neither
 // reserve nor return tokens, so they are written on no condition.
 func (lp *ledgerPartition) restateOwn(ctx context.Context) (int, error) {
@@ -166,7 +184,7 @@
 			continue
 		}
 		p := a.Restate(lp.budgets.fleet.timeOfDay())
-		a.WriteSent(now, unconditional, p.Record)
+		a.WriteSent(now, escrow.Unconditional, p.Record)
 		plans = append(plans, plan{team: team, Plan: p})
 	}
 	return plans
--- a/gateway/renew.go
+++ b/gateway/renew.go
@@ -85,7 +85,7 @@
 func (lp *ledgerPartition) renew(ctx context.Context) error {
 	lp.ioMu.Lock()
 	defer lp.ioMu.Unlock()
-	if lp.closed || lp.accountsCreated && !lp.needsWrite() && !lp.isPuttingBack() && !lp.eraChanged.Load() {
+	if lp.closed || lp.accountsCreated && !lp.needsWrite() && !lp.isPuttingBack() && !lp.eraChanged.Load() || lp.waitsForOthers() {
 		return nil
 	}
 	defer lp.endRenewal()
@@ -273,7 +273,7 @@
 	var plans []plan
 	for _, team := range slices.Sorted(maps.Keys(lp.accounts)) {
 		a := lp.accounts[team]
-		if _, inherited := a.PendingRecovery(); inherited || a.Reserved() == a.Used() {
+		if _, inherited := a.PendingRecovery(); inherited || a.Reserved() == a.Used() && !a.Unstated() {
 			continue
 		}
 		p := a.Close(lp.budgets.cfg.Now(), lp.budgets.fleet.timeOfDay())
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -35,7 +35,9 @@
 	timer *time.Timer
 	// resumable is set while another server could go on from what was forwarded.
 	resumable bool
-	stopped   bool
+	// forwarding is set while an event is on its way to the caller.
+	forwarding bool
+	stopped    bool
 	// next is the placement of the next attempt, set when this one was cancelled.
 	next *placement.Placement
 }
@@ -60,6 +62,7 @@
 func (w *watchdog) received() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.forwarding = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
@@ -69,7 +72,7 @@
 func (w *watchdog) forwarded(e Event) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.resumable = w.x.isResumable(e.ID)
+	w.resumable, w.forwarding = w.x.isResumable(e.ID), false
 	if w.timer != nil && w.next == nil {
 		w.timer.Reset(stallTimeout)
 	}
@@ -79,7 +82,7 @@
 func (w *watchdog) giveUp() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped || w.next != nil {
+	if w.stopped || w.forwarding || w.next != nil {
 		return
 	}
 	if p, ok := w.place(); ok {
