gateway, core/placement, platform: a server that says that it leaves gets no further calls

Callers would see requests sent to a server that has announced in its answers that it leaves, until its record in the store says so, which may be never or after it has gone: their requests fail there. The header Server-Leaving wasn't decoded.

An answer with the header marks the incarnation (id and start time) in core/placement at once. The mark is kept apart from the server's record, so that no record, no removal and return, and no move of the address undoes it; placement never falls back to such a server. A retry that the watchdog placed before the mark is placed anew before it is sent. Calls that waited for tokens are placed afterwards anyway.

Without the mark TestRetryGoesToLeavingServer, TestStreamResumesAtLeavingServer, TestLogBringsLeavingServerBack and TestQueuedCallGoesToLeavingServer fail; without the check before a placed retry is sent, TestPlacedRetryGoesToLeavingServer does.

--- a/core/placement/dump.go
+++ b/core/placement/dump.go
@@ -8,11 +8,13 @@
 
 // ServerDump is the state of a server in the table.
 type ServerDump struct {
-	ID            string    `json:"id"`
-	Service       string    `json:"service"`
-	Zone          string    `json:"zone"`
-	Version       string    `json:"version"`
-	Draining      bool      `json:"draining"`
+	ID       string `json:"id"`
+	Service  string `json:"service"`
+	Zone     string `json:"zone"`
+	Version  string `json:"version"`
+	Draining bool   `json:"draining"`
+	// Leaving is set once the server said that it leaves.
+	Leaving       bool      `json:"leaving"`
 	Running       int       `json:"running"`
 	WaitingTokens int64     `json:"waitingTokens"`
 	FailureRate   float64   `json:"failures"`
@@ -33,6 +35,7 @@
 		d := ServerDump{
 			ID: s.ID, Service: s.Service, Zone: s.Zone, Version: s.Version, Draining: s.Draining, Running: s.runningCalls,
 			WaitingTokens: s.waitingTokens, FailureRate: s.failureRate, PausedUntil: s.pausedUntil, Window: s.window.size,
+			Leaving: s.isLeaving(),
 		}
 		if s.limit != nil {
 			d.Limited, d.Limit, d.Share = true, s.limit.perSecond, s.limit.share.perSecond
--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -213,7 +213,7 @@
 func (t *Table) NextToken(now time.Time, service string) time.Time {
 	var next time.Time
 	for _, s := range t.byService[service] {
-		if s.Draining || s.misdirected || s.takesCalls(now, true) {
+		if s.isClosed() || s.takesCalls(now, true) {
 			continue
 		}
 		if at := s.limit.most.next(); next.IsZero() || at.Before(next) {
--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -150,6 +150,8 @@
 	answeredAt time.Time
 	// misdirected is set when another server has taken over the address.
 	misdirected bool
+	// announced is nil if the server announced nothing.
+	announced *announcement
 }
 
 // Table holds the servers of all services and their state. It is not safe for concurrent use.
@@ -159,6 +161,8 @@
 	// vms are the entry VMs that share the limits of servers, by service, this one first.
 	vms     map[string][]VM
 	servers map[string]*server
+	// announcements holds what servers announced, by incarnation.
+	announcements map[string]*announcement
 	// byService holds the servers of each service, sorted by id.
 	byService map[string][]*server
 	// failureRates holds the moving average of failed calls by service.
@@ -172,7 +176,7 @@
 	return &Table{
 		zone: zone, random: rand.New(rand.NewPCG(seed, seed)), vms: map[string][]VM{}, servers: map[string]*server{},
 		byService: map[string][]*server{}, failureRates: map[string]float64{},
-		firstEventTimes: map[firstEventKey]float64{},
+		firstEventTimes: map[firstEventKey]float64{}, announcements: map[string]*announcement{},
 	}
 }
 
@@ -187,7 +191,7 @@
 	if old != nil {
 		t.RemoveServer(s.ID)
 	}
-	n := &server{Server: s, slowness: 1}
+	n := &server{Server: s, slowness: 1, announced: t.announcements[s.Incarnation()]}
 	t.servers[s.ID] = n
 	list := append(t.byService[s.Service], n)
 	slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
@@ -283,9 +287,9 @@
 	return slices.ContainsFunc(t.byService[service], func(s *server) bool { return s.Version != version })
 }
 
-// HasServers reports whether the service has servers that aren't draining.
+// HasServers reports whether the service has servers that take further calls.
 func (t *Table) HasServers(service string) bool {
-	return slices.ContainsFunc(t.byService[service], func(s *server) bool { return !s.Draining && !s.misdirected })
+	return slices.ContainsFunc(t.byService[service], func(s *server) bool { return !s.isClosed() })
 }
 
 // usable returns the servers that may take the call. Those at their limits don't, unless beyondLimits is set. While there
@@ -296,7 +300,7 @@
 	var first *server
 	windowed := r.Tokens > 0 && t.HasLimits(r.Service)
 	for _, s := range t.byService[r.Service] {
-		if s.Draining || s.misdirected || slices.Contains(r.Excluded, s.ID) || !s.takesCalls(now, beyondLimits) {
+		if s.isClosed() || slices.Contains(r.Excluded, s.ID) || !s.takesCalls(now, beyondLimits) {
 			continue
 		}
 		if !r.allowsVersion(s.Version) {
--- /dev/null
+++ b/gateway/announcements_test.go
@@ -0,0 +1,224 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"ibiswinch/core/call"
+	"ibiswinch/core/keyed"
+	"ibiswinch/core/placement"
+	"ibiswinch/core/refusal"
+)
+
+// announcingBackend answers as respond says, which gets the attempt and its number, from 1.
+type announcingBackend struct {
+	respond func(n int, a Attempt) (Answer, error)
+
+	mu       sync.Mutex
+	attempts []Attempt
+}
+
+func (b *announcingBackend) Send(_ context.Context, a Attempt) (Answer, error) {
+	b.mu.Lock()
+	b.attempts = append(b.attempts, a)
+	n := len(b.attempts)
+	b.mu.Unlock()
+	return b.respond(n, a)
+}
+
+// servers returns the servers of all attempts, in order.
+func (b *announcingBackend) servers() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ids []string
+	for _, a := range b.attempts {
+		ids = append(ids, a.Server.ID)
+	}
+	return ids
+}
+
+func newAnnouncingFixture(t *testing.T, respond func(n int, a Attempt) (Answer, error)) (*fixture, *announcingBackend) {
+	b := &announcingBackend{respond: respond}
+	return newFixtureWith(t, func(cfg *Config) { cfg.Backend = b }), b
+}
+
+// leaveAtFirst has the server of the first attempt answer with first, and all others serve.
+func leaveAtFirst(first func() *fakeAnswer) func(int, Attempt) (Answer, error) {
+	return func(n int, _ Attempt) (Answer, error) {
+		answer := &fakeAnswer{status: 200, body: "whole"}
+		if n == 1 {
+			answer = first()
+			answer.leaving = true
+		}
+		return answer, nil
+	}
+}
+
+// assertOnlyFirst asserts that the server of the first attempt got no other one.
+func (f *fixture) assertOnlyFirst(b *announcingBackend) {
+	servers := b.servers()
+	for _, id := range servers[1:] {
+		f.c.Assert(id, qt.Not(qt.Equals), servers[0], qt.Commentf("%v", servers))
+	}
+}
+
+// TestRetryGoesToLeavingServer guards against calls, and retries of calls that other servers failed, at a server that said
+// that it leaves.
+func TestRetryGoesToLeavingServer(t *testing.T) {
+	f, b := newAnnouncingFixture(t, func(n int, _ Attempt) (Answer, error) {
+		return &fakeAnswer{status: 503, notRun: true, leaving: n == 1}, nil
+	})
+	for range 20 {
+		f.post("/read/1")
+	}
+	f.assertOnlyFirst(b)
+}
+
+// TestStreamResumesAtLeavingServer guards against streams that are resumed at a server that said that it leaves.
+func TestStreamResumesAtLeavingServer(t *testing.T) {
+	for range 10 {
+		f, b := newAnnouncingFixture(t, func(n int, a Attempt) (Answer, error) {
+			answer := wholeStream("1", "2")
+			answer.leaving = n == 1
+			if n == 2 {
+				answer = brokenStream("1").answer
+			} else if a.LastEventID != "" {
+				answer = wholeStream("2")
+			}
+			return answer, nil
+		})
+		f.post("/chat/1")
+		r := f.post("/chat/1")
+		f.c.Assert(r.finished, qt.IsTrue)
+		f.c.Assert(b.servers(), qt.HasLen, 3)
+		f.assertOnlyFirst(b)
+	}
+}
+
+// TestLogBringsLeavingServerBack guards against records of the log that have a server that said that it leaves get calls
+// again, and against one that restarts and gets none.
+func TestLogBringsLeavingServerBack(t *testing.T) {
+	f, b := newAnnouncingFixture(t, leaveAtFirst(func() *fakeAnswer { return &fakeAnswer{status: 200, body: "whole"} }))
+	f.post("/read/1")
+	server, found := f.gateway.servers.table.Server(b.servers()[0])
+	f.c.Assert(found, qt.IsTrue)
+	listed := func(s placement.Server) func() bool {
+		return func() bool {
+			f.gateway.servers.mu.Lock()
+			defer f.gateway.servers.mu.Unlock()
+			known, found := f.gateway.servers.table.Server(s.ID)
+			return found && known.Sequence == s.Sequence && known.Born.Equal(s.Born)
+		}
+	}
+	server.Sequence = 1
+	f.log.put(keyed.Servers, server.ID, server)
+	f.waitFor("newer record", listed(server))
+	f.log.put(keyed.Servers, server.ID, nil)
+	server.Sequence = 2
+	f.log.put(keyed.Servers, server.ID, server)
+	f.waitFor("record after removal", listed(server))
+	f.log.setDown(true)
+	for range 20 {
+		f.post("/read/1")
+	}
+	f.assertOnlyFirst(b)
+
+	f.log.setDown(false)
+	server.Born = time.Now()
+	f.log.put(keyed.Servers, server.ID, server)
+	f.waitFor("restart", listed(server))
+	before := len(b.servers())
+	for range 40 {
+		f.post("/read/1")
+	}
+	f.c.Assert(b.servers()[before:], qt.Contains, server.ID)
+}
+
+// slowLog is a log that takes delay for each append.
+type slowLog struct {
+	Log
+	delay time.Duration
+}
+
+func (l slowLog) Append(ctx context.Context, p keyed.Partition, records []keyed.Record, expected *uint64) (keyed.Appended, error) {
+	time.Sleep(l.delay)
+	return l.Log.Append(ctx, p, records, expected)
+}
+
+// TestQueuedCallGoesToLeavingServer guards against a call that waits for tokens and is then sent to the server that said
+// meanwhile that it leaves.
+func TestQueuedCallGoesToLeavingServer(t *testing.T) {
+	const tries, reserveTime = 6, 40 * time.Millisecond
+	placed := 0
+	for range tries {
+		sent, answerFirst := make(chan struct{}), make(chan struct{})
+		b := &announcingBackend{respond: func(n int, _ Attempt) (Answer, error) {
+			if n == 1 {
+				close(sent)
+				<-answerFirst
+			}
+			return &fakeAnswer{status: 200, stream: true, events: events("1"), leaving: n == 1}, nil
+		}}
+		f := newFixtureWith(t, func(cfg *Config) { cfg.Backend, cfg.Log = b, slowLog{cfg.Log, reserveTime} })
+		for _, id := range []string{"s-2", "s-3"} {
+			f.log.put(keyed.Servers, id, nil)
+		}
+		f.waitFor("only server", func() bool { return len(f.gateway.Dump().Servers) == 1 })
+		first, queued := make(chan *recorder, 1), make(chan *recorder, 1)
+		go func() { first <- f.post("/chat/1") }()
+		<-sent
+		go func() {
+			queued <- f.serveWithID(f.gateway, &call.Call{Path: "/chat/1", InputTokens: 60_000, MaxOutputTokens: 40}, "r-2")
+		}()
+		f.waitFor("second call", func() bool { return f.gateway.OpenCalls() == 2 })
+		f.c.Assert(b.servers(), qt.HasLen, 1)
+		close(answerFirst)
+		f.c.Assert((<-first).finished, qt.IsTrue)
+		if r := <-queued; r.refused == nil || r.refused.Reason == refusal.NoServer {
+			placed++
+		}
+		f.c.Assert(b.servers(), qt.HasLen, 1)
+	}
+	// On a busy machine, the tokens of some calls come too late.
+	qt.Assert(t, placed > 0, qt.IsTrue)
+}
+
+// TestPlacedRetryGoesToLeavingServer guards against the next attempt of a silent call at the server that it was placed at
+// before that said that it leaves.
+func TestPlacedRetryGoesToLeavingServer(t *testing.T) {
+	b := &leavingSuccessor{}
+	f := newFixtureWith(t, func(cfg *Config) { cfg.Backend = b })
+	b.gateway = f.gateway
+	r := f.post("/read/1")
+	f.c.Assert(r.status, qt.Equals, 200)
+	f.c.Assert(b.successor.ID, qt.Not(qt.Equals), "")
+	f.c.Assert(b.last.ID, qt.Not(qt.Equals), b.successor.ID)
+}
+
+// leavingSuccessor is silent at the first attempt until the next one is placed, whose server then leaves.
+type leavingSuccessor struct {
+	gateway         *Gateway
+	successor, last placement.Server
+}
+
+func (b *leavingSuccessor) Send(ctx context.Context, a Attempt) (Answer, error) {
+	if b.successor.ID != "" {
+		b.last = a.Server
+		return &fakeAnswer{status: 200, body: "whole"}, nil
+	}
+	<-ctx.Done()
+	servers := b.gateway.servers
+	servers.mu.Lock()
+	for _, d := range servers.table.Dump() {
+		if d.Running > 0 && d.ID != a.Server.ID {
+			b.successor, _ = servers.table.Server(d.ID)
+		}
+	}
+	servers.mu.Unlock()
+	servers.setLeaving(b.successor, 200)
+	return nil, ctx.Err()
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -79,6 +79,10 @@
 	x.choice, _ = x.g.rollouts.choose(x.service, x.ID)
 	var next *placement.Placement
 	for {
+		if next != nil && !x.g.servers.takesCalls(*next) {
+			x.releaseUnused(next)
+			next = nil
+		}
 		if next == nil {
 			p, ok := x.choose(x.excluded)
 			if !ok {
@@ -158,6 +162,7 @@
 	if err != nil {
 		return x.resultOfError(ctx, attemptCtx, err)
 	}
+	x.recordAnnouncements(p.Server, answer)
 	if !belongsToAttempt(answer) {
 		answer.CloseConnection()
 		return attemptResult{outcome: placement.Interrupted, arrived: true, err: errOtherRequest}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,8 @@
 	// RequestLimit returns the number of requests a second that the server takes from all entry VMs together. It reports
 	// false if the server names no limit.
 	RequestLimit() (float64, bool)
+	// Leaving reports whether the server says that it leaves.
+	Leaving() bool
 	// IsEventStream reports whether the body is an event stream.
 	IsEventStream() bool
 	// Body reads the whole body.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -233,6 +233,7 @@
 	stream      bool
 	body        string
 	limit       float64
+	leaving     bool
 	events      []Event
 	// end is the error after the last event, io.EOF by default.
 	end    error
@@ -253,6 +254,8 @@
 
 func (a *fakeAnswer) RequestLimit() (float64, bool) { return a.limit, a.limit > 0 }
 
+func (a *fakeAnswer) Leaving() bool { return a.leaving }
+
 func (a *fakeAnswer) Body(int64) ([]byte, error) { return []byte(a.body), a.end }
 func (a *fakeAnswer) Close()                     {}
 func (a *fakeAnswer) CloseConnection()           { a.connectionClosed = true }
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -64,6 +64,17 @@
 	x.g.servers.setLimit(server, limit, limited)
 }
 
+// recordAnnouncements records what a server says of itself in an answer, to whichever request that belongs. Another
+// server's answer tells nothing about this one.
+func (x *exchange) recordAnnouncements(server placement.Server, answer Answer) {
+	if answer.Misdirected() {
+		return
+	}
+	if answer.Leaving() {
+		x.g.servers.setLeaving(server, answer.Status())
+	}
+}
+
 // recordEvidence adds an attempt to the evidence of the version change. One that its caller ended, or that did not run,
 // is neither a success nor a failure.
 func (x *exchange) recordEvidence(p placement.Placement, o placement.Outcome) {
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -303,6 +303,22 @@
 	}
 }
 
+// setLeaving records that a server said in an answer that it leaves.
+func (s *serverController) setLeaving(of placement.Server, status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table.SetLeaving(s.cfg.Now(), of) {
+		s.cfg.Events.Event(event.ServerLeaving, apexlog.Fields{"server": of.ID, "born": of.Born, "status": status})
+	}
+}
+
+// takesCalls reports whether a placed call may still be sent to its server.
+func (s *serverController) takesCalls(p placement.Placement) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.TakesCalls(p)
+}
+
 // newLimitNews returns news of a limit that holds until entry VMs have had time to pass on newer ones.
 func newLimitNews(now time.Time, vms int, perSecond float64) placement.LimitNews {
 	return placement.LimitNews{PerSecond: perSecond, Limited: true, Until: now.Add(limitRetention + 2*announceInterval(vms))}
