gateway, core/placement, platform: a server that names a time to wait is left alone until then

Callers would see their requests refused by servers that asked for a pause, and servers get far more requests than they asked for while they recover. Retry-After of servers wasn't decoded: a refusal kept a server from calls for 60 ms, and even that ended where no other server was usable.

A 503 with Retry-After now sets the end of the server's wait at this entry VM, by incarnation, beside what it says of leaving. No later answer, record or lack of servers ends it sooner; a call that was placed before is placed anew. If all servers are at limits or wait, the caller is refused at once with the earliest end. The wait is lengthened at random by up to half (at most 1 s), and then the server gets one call and one more with each 50 ms for a second, so that neither all entry VMs nor all calls come back at once. Fractions are kept, zero is no wait, negative values and what is no number are logged and ignored, more than an hour counts as an hour: a server that goes on to ask for more is asked again after that.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -104,6 +104,7 @@
 	ServerLimited    = Event{723, Info, "backend server limits its requests"}
 	OldServerIgnored = Event{724, Info, "outdated record of a backend server ignored"}
 	ServerLeaving    = Event{725, Info, "backend server says that it leaves"}
+	ServerWait       = Event{726, Info, "backend server asks for a wait"}
 	RequestEnded     = Event{730, Info, "request ended"}
 	RequestRefused   = Event{731, Info, "request refused"}
 	AttemptFailed    = Event{732, Info, "attempt failed"}
--- a/core/placement/announcement.go
+++ b/core/placement/announcement.go
@@ -5,14 +5,27 @@
 	"time"
 )
 
-// announcementRetention is how long what a server announced is kept while no record lists the server. One whose record has
-// expired may be listed again.
-const announcementRetention = time.Hour
+const (
+	// announcementRetention is how long what a server announced is kept while no record lists the server. One whose record
+	// has expired may be listed again.
+	announcementRetention = time.Hour
+	// maxWait bounds the wait that a server asks for. It takes longer than the faults of a sound one.
+	maxWait = time.Hour
+	// returnSpreadPercent of a wait, but at most maxReturnSpread, is the time in which entry VMs that were told the same come
+	// back.
+	returnSpreadPercent = 50
+	maxReturnSpread     = time.Second
+	// After a wait the server may run one call, and one more with each returnStep until returnTime has passed.
+	returnStep = 50 * time.Millisecond
+	returnTime = time.Second
+)
 
 // announcement is what an incarnation of a server said of itself in its answers. It outlasts the server's record.
 type announcement struct {
 	// leaving is set once the server said that it leaves. It is never reset: only another incarnation takes calls again.
 	leaving bool
+	// waitUntil is when the server takes calls of this entry VM again. It never becomes earlier.
+	waitUntil time.Time
 	// saidAt is when the server last announced something to this entry VM.
 	saidAt time.Time
 }
@@ -49,6 +62,32 @@
 	return news
 }
 
+// SetWait records that a server that turned a call away asked for no further ones before retryAt. It returns the end of the
+// wait, which is bounded and a little later than asked, and whether that begins a wait.
+func (t *Table) SetWait(now time.Time, of Server, retryAt time.Time) (until time.Time, begins bool) {
+	wait := min(retryAt.Sub(now), maxWait)
+	if wait <= 0 {
+		return time.Time{}, false
+	}
+	a := t.announced(now, of.Incarnation())
+	begins = !now.Before(a.waitUntil)
+	spread := min(wait*returnSpreadPercent/100, maxReturnSpread)
+	until = now.Add(wait + time.Duration(t.random.Float64()*float64(spread)))
+	if until.After(a.waitUntil) {
+		a.waitUntil = until
+	}
+	a.saidAt = now
+	return a.waitUntil, begins
+}
+
+// waitEnd is when a server that asked for a wait takes the next call of this entry VM; zero if it asked for none.
+func (s *server) waitEnd() time.Time {
+	if s.announced == nil || s.announced.waitUntil.IsZero() {
+		return time.Time{}
+	}
+	return s.announced.waitUntil.Add(min(time.Duration(s.runningCalls)*returnStep, returnTime))
+}
+
 // isLeaving reports whether the server said that it leaves.
 func (s *server) isLeaving() bool { return s.announced != nil && s.announced.leaving }
 
@@ -56,7 +95,35 @@
 func (s *server) isClosed() bool { return s.Draining || s.misdirected || s.isLeaving() }
 
 // TakesCalls reports whether a placed call may still be sent to its server.
-func (t *Table) TakesCalls(p Placement) bool {
+func (t *Table) TakesCalls(now time.Time, p Placement) bool {
 	a := t.announcements[p.Server.Incarnation()]
-	return a == nil || !a.leaving
+	return a == nil || !a.leaving && !now.Before(a.waitUntil)
+}
+
+// NextCall returns when a server that is at its limit, or asked for a wait, takes a call again. It is zero if a server has
+// neither, unless another one is at its limit.
+func (t *Table) NextCall(now time.Time, service string) time.Time {
+	var next time.Time
+	free, atLimit := false, false
+	for _, s := range t.byService[service] {
+		if s.isClosed() {
+			continue
+		}
+		at := s.waitEnd()
+		switch {
+		case now.Before(at):
+		case s.takesCalls(now, true):
+			free = true
+			continue
+		default:
+			at, atLimit = s.limit.most.next(), true
+		}
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	if free && !atLimit {
+		return time.Time{}
+	}
+	return next
 }
--- a/core/placement/dump.go
+++ b/core/placement/dump.go
@@ -14,7 +14,9 @@
 	Version  string `json:"version"`
 	Draining bool   `json:"draining"`
 	// Leaving is set once the server said that it leaves.
-	Leaving       bool      `json:"leaving"`
+	Leaving bool `json:"leaving"`
+	// WaitUntil is when a server that asked for a wait takes calls again.
+	WaitUntil     time.Time `json:"waitUntil"`
 	Running       int       `json:"running"`
 	WaitingTokens int64     `json:"waitingTokens"`
 	FailureRate   float64   `json:"failures"`
@@ -35,7 +37,9 @@
 		d := ServerDump{
 			ID: s.ID, Service: s.Service, Zone: s.Zone, Version: s.Version, Draining: s.Draining, Running: s.runningCalls,
 			WaitingTokens: s.waitingTokens, FailureRate: s.failureRate, PausedUntil: s.pausedUntil, Window: s.window.size,
-			Leaving: s.isLeaving(),
+		}
+		if s.announced != nil {
+			d.Leaving, d.WaitUntil = s.announced.leaving, s.announced.waitUntil
 		}
 		if s.limit != nil {
 			d.Limited, d.Limit, d.Share = true, s.limit.perSecond, s.limit.share.perSecond
--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -207,18 +207,3 @@
 		s.limit.most.tokens--
 	}
 }
-
-// NextToken returns when a server that is at its limit takes a call again, zero if no server of the service is at its
-// limit.
-func (t *Table) NextToken(now time.Time, service string) time.Time {
-	var next time.Time
-	for _, s := range t.byService[service] {
-		if s.isClosed() || s.takesCalls(now, true) {
-			continue
-		}
-		if at := s.limit.most.next(); next.IsZero() || at.Before(next) {
-			next = at
-		}
-	}
-	return next
-}
--- a/core/placement/limit_test.go
+++ b/core/placement/limit_test.go
@@ -55,7 +55,7 @@
 				p, ok := t.Choose(f.now, placement.Request{Service: service})
 				if !ok {
 					f.refused++
-					f.c.Assert(t.NextToken(f.now, service).After(f.now), qt.IsTrue)
+					f.c.Assert(t.NextCall(f.now, service).After(f.now), qt.IsTrue)
 					continue
 				}
 				f.arrivals = append(f.arrivals, f.now)
--- a/core/placement/table.go
+++ b/core/placement/table.go
@@ -292,7 +292,7 @@
 	return slices.ContainsFunc(t.byService[service], func(s *server) bool { return !s.isClosed() })
 }
 
-// usable returns the servers that may take the call. Those at their limits don't, unless beyondLimits is set. While there
+// usable returns the servers that may take the call. Those that leave or asked for a wait never do. Those at their limits don't, unless beyondLimits is set. While there
 // are any, nor do those with full windows, as what the former don't take must not overload the others. If all of them
 // are paused, it returns the one whose pause ends first.
 func (t *Table) usable(now time.Time, r Request, beyondLimits bool) []*server {
@@ -300,7 +300,7 @@
 	var first *server
 	windowed := r.Tokens > 0 && t.HasLimits(r.Service)
 	for _, s := range t.byService[r.Service] {
-		if s.isClosed() || slices.Contains(r.Excluded, s.ID) || !s.takesCalls(now, beyondLimits) {
+		if s.isClosed() || slices.Contains(r.Excluded, s.ID) || now.Before(s.waitEnd()) || !s.takesCalls(now, beyondLimits) {
 			continue
 		}
 		if !r.allowsVersion(s.Version) {
--- a/gateway/announcements_test.go
+++ b/gateway/announcements_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"time"
@@ -190,7 +191,7 @@
 // TestPlacedRetryGoesToLeavingServer guards against the next attempt of a silent call at the server that it was placed at
 // before that said that it leaves.
 func TestPlacedRetryGoesToLeavingServer(t *testing.T) {
-	b := &leavingSuccessor{}
+	b := &announcingSuccessor{announce: func(s *serverController, of placement.Server) { s.setLeaving(of, 200) }}
 	f := newFixtureWith(t, func(cfg *Config) { cfg.Backend = b })
 	b.gateway = f.gateway
 	r := f.post("/read/1")
@@ -199,13 +200,14 @@
 	f.c.Assert(b.last.ID, qt.Not(qt.Equals), b.successor.ID)
 }
 
-// leavingSuccessor is silent at the first attempt until the next one is placed, whose server then leaves.
-type leavingSuccessor struct {
+// announcingSuccessor is silent at the first attempt until the next one is placed, whose server then announces something.
+type announcingSuccessor struct {
+	announce        func(s *serverController, of placement.Server)
 	gateway         *Gateway
 	successor, last placement.Server
 }
 
-func (b *leavingSuccessor) Send(ctx context.Context, a Attempt) (Answer, error) {
+func (b *announcingSuccessor) Send(ctx context.Context, a Attempt) (Answer, error) {
 	if b.successor.ID != "" {
 		b.last = a.Server
 		return &fakeAnswer{status: 200, body: "whole"}, nil
@@ -219,6 +221,48 @@
 		}
 	}
 	servers.mu.Unlock()
-	servers.setLeaving(b.successor, 200)
+	b.announce(servers, b.successor)
 	return nil, ctx.Err()
 }
+
+// TestRetriesReachWaitingServer guards against calls and their retries at a server that asked for a wait, while all others fail,
+// and against callers who aren't told when it ends.
+func TestRetriesReachWaitingServer(t *testing.T) {
+	const wait = 3 * time.Second
+	f, b := newAnnouncingFixture(t, func(n int, _ Attempt) (Answer, error) {
+		if n == 1 {
+			return &fakeAnswer{status: 503, notRun: true, retryDelay: wait}, nil
+		}
+		return &fakeAnswer{status: 503, notRun: true, retryDelay: 2 * wait}, nil
+	})
+	began := time.Now()
+	for range 10 {
+		r := f.post("/read/1")
+		f.c.Assert(r.refused.Reason, qt.Equals, refusal.NoCapacity)
+		f.c.Assert(r.refused.RetryAt.Before(began.Add(wait)), qt.IsFalse)
+		f.c.Assert(r.refused.RetryAt.Before(began.Add(2*wait)), qt.IsTrue)
+	}
+	f.c.Assert(b.servers(), qt.HasLen, 3)
+}
+
+// TestOddWaitIsIgnored guards against a server that gets no calls because the wait that it asked for is no time.
+func TestOddWaitIsIgnored(t *testing.T) {
+	f, b := newAnnouncingFixture(t, func(int, Attempt) (Answer, error) {
+		return &fakeAnswer{status: 503, notRun: true, retryError: errors.New("no time")}, nil
+	})
+	f.post("/read/1")
+	time.Sleep(100 * time.Millisecond)
+	f.post("/read/1")
+	f.c.Assert(b.servers(), qt.HasLen, 6)
+}
+
+// TestPlacedRetryGoesToWaitingServer guards against the next attempt of a silent call at the server that it was placed at
+// before that asked for a wait.
+func TestPlacedRetryGoesToWaitingServer(t *testing.T) {
+	b := &announcingSuccessor{announce: func(s *serverController, of placement.Server) { s.setWait(of, time.Minute, nil) }}
+	f := newFixtureWith(t, func(cfg *Config) { cfg.Backend = b })
+	b.gateway = f.gateway
+	f.c.Assert(f.post("/read/1").status, qt.Equals, 200)
+	f.c.Assert(b.successor.ID, qt.Not(qt.Equals), "")
+	f.c.Assert(b.last.ID, qt.Not(qt.Equals), b.successor.ID)
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -21,7 +21,7 @@
 	maxAnswerBytes = 8 << 20
 	// While the log is near its rate limit, one in logSampleInterval successful requests is logged.
 	logSampleInterval = 16
-	// rejectedRetryDelay is the Retry-After when all servers rejected the call.
+	// rejectedRetryDelay is the Retry-After when all servers rejected the call and none named a time.
 	rejectedRetryDelay = 250 * time.Millisecond
 )
 
@@ -365,7 +365,7 @@
 		return
 	}
 	if result.notRun && x.runs == 0 {
-		x.fail(refusal.New(refusal.NoCapacity, "no server has room").WithRetryAt(x.g.cfg.Now().Add(rejectedRetryDelay)))
+		x.fail(refusal.New(refusal.NoCapacity, "no server has room").WithRetryAt(x.retryAt()))
 		return
 	}
 	x.fail(refusal.New(refusal.ServerFailed, "the server failed: %v", result.err))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,6 +85,9 @@
 	RequestLimit() (float64, bool)
 	// Leaving reports whether the server says that it leaves.
 	Leaving() bool
+	// RetryDelay returns the time for which a server that turned the call away wants no further ones, 0 if it names none. It
+	// fails if what it names is no time.
+	RetryDelay() (time.Duration, error)
 	// IsEventStream reports whether the body is an event stream.
 	IsEventStream() bool
 	// Body reads the whole body.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -234,7 +234,10 @@
 	body        string
 	limit       float64
 	leaving     bool
-	events      []Event
+	// retryDelay and retryError are what the answer says of the time to wait.
+	retryDelay time.Duration
+	retryError error
+	events     []Event
 	// end is the error after the last event, io.EOF by default.
 	end    error
 	next   int
@@ -256,6 +259,8 @@
 
 func (a *fakeAnswer) Leaving() bool { return a.leaving }
 
+func (a *fakeAnswer) RetryDelay() (time.Duration, error) { return a.retryDelay, a.retryError }
+
 func (a *fakeAnswer) Body(int64) ([]byte, error) { return []byte(a.body), a.end }
 func (a *fakeAnswer) Close()                     {}
 func (a *fakeAnswer) CloseConnection()           { a.connectionClosed = true }
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -45,16 +45,24 @@
 
 // noServer returns the refusal of a call that no server takes now.
 func (x *exchange) noServer() *refusal.Error {
-	if next := x.g.servers.nextToken(x.service); !next.IsZero() {
-		return refusal.New(refusal.NoCapacity, "all servers are at the limits that they named").WithRetryAt(next)
+	if next := x.g.servers.nextCall(x.service); !next.IsZero() {
+		return refusal.New(refusal.NoCapacity, "all servers are at their limits or asked for a wait").WithRetryAt(next)
 	}
-	retryAt := x.g.cfg.Now().Add(rejectedRetryDelay)
+	retryAt := x.retryAt()
 	if x.g.servers.hasServers(x.service) {
 		return refusal.New(refusal.NoCapacity, "no server answers further calls in time").WithRetryAt(retryAt)
 	}
 	return refusal.New(refusal.NoServer, "no server takes calls").WithRetryAt(retryAt)
 }
 
+// retryAt returns when a server may take a call that none takes now.
+func (x *exchange) retryAt() time.Time {
+	if next := x.g.servers.nextCall(x.service); !next.IsZero() {
+		return next
+	}
+	return x.g.cfg.Now().Add(rejectedRetryDelay)
+}
+
 // recordLimit records whether the answer names a limit. Another server's answer tells nothing about this one.
 func (x *exchange) recordLimit(server placement.Server, answer Answer) {
 	if answer.Misdirected() {
@@ -73,6 +81,9 @@
 	if answer.Leaving() {
 		x.g.servers.setLeaving(server, answer.Status())
 	}
+	if delay, err := answer.RetryDelay(); delay > 0 || err != nil {
+		x.g.servers.setWait(server, delay, err)
+	}
 }
 
 // recordEvidence adds an attempt to the evidence of the version change. One that its caller ended, or that did not run,
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -245,11 +245,12 @@
 	return s.table.HasServers(service)
 }
 
-// nextToken returns when a server that is at its limit takes a call again, zero if none is at its limit.
-func (s *serverController) nextToken(service string) time.Time {
+// nextCall returns when a server that is at its limit, or asked for a wait, takes a call again; zero if there is none to wait
+// for.
+func (s *serverController) nextCall(service string) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.NextToken(s.cfg.Now(), service)
+	return s.table.NextCall(s.cfg.Now(), service)
 }
 
 func (s *serverController) firstEvent(p *placement.Placement) {
@@ -312,11 +313,28 @@
 	}
 }
 
+// setWait records that a server that turned a call away wants no further ones for delay. With err, what it named is no time.
+func (s *serverController) setWait(of placement.Server, delay time.Duration, err error) {
+	fields := apexlog.Fields{"server": of.ID, "born": of.Born}
+	if err != nil {
+		fields["error"] = err.Error()
+		s.cfg.Events.Event(event.ServerWait, fields)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Now()
+	if until, begins := s.table.SetWait(now, of, now.Add(delay)); begins {
+		fields["askedMs"], fields["until"] = delay.Milliseconds(), until
+		s.cfg.Events.Event(event.ServerWait, fields)
+	}
+}
+
 // takesCalls reports whether a placed call may still be sent to its server.
 func (s *serverController) takesCalls(p placement.Placement) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.TakesCalls(p)
+	return s.table.TakesCalls(s.cfg.Now(), p)
 }
 
 // newLimitNews returns news of a limit that holds until entry VMs have had time to pass on newer ones.
