gateway, core/placement: entry VMs tell each other which servers leave

Callers of the other entry VMs would go on to be sent to a server that leaves, until each of these has had an answer of it or its record says so; the last calls may be broken off. Heartbeats now carry the incarnations that said so to the sender within its last heartbeats. What is heard that way only ever closes a server, and isn't passed on again.

Before (without the call in fleet.go): TestPeerSendsToLeavingServer, no news of the server in 5 s.

--- a/core/placement/announcement.go
+++ b/core/placement/announcement.go
@@ -26,8 +26,8 @@
 	leaving bool
 	// waitUntil is when the server takes calls of this entry VM again. It never becomes earlier.
 	waitUntil time.Time
-	// saidAt is when the server last announced something to this entry VM.
-	saidAt time.Time
+	// saidAt is when the server last announced something to this entry VM, heardAt when any entry VM last told of it.
+	saidAt, heardAt time.Time
 }
 
 // announced returns what a server announced, to be changed.
@@ -49,7 +49,7 @@
 	maps.DeleteFunc(t.announcements, func(incarnation string, a *announcement) bool {
 		s := t.servers[incarnationID(incarnation)]
 		listed := s != nil && s.Incarnation() == incarnation
-		return !listed && now.Sub(a.saidAt) > announcementRetention
+		return !listed && now.Sub(a.heardAt) > announcementRetention
 	})
 }
 
@@ -58,10 +58,34 @@
 func (t *Table) SetLeaving(now time.Time, of Server) bool {
 	a := t.announced(now, of.Incarnation())
 	news := !a.leaving
-	a.leaving, a.saidAt = true, now
+	a.leaving, a.saidAt, a.heardAt = true, now, now
 	return news
 }
 
+// SetPeerLeaving records that a server said to another entry VM that it leaves. It reports whether that is news of a server that
+// is known. Nothing that another entry VM tells ends a leaving.
+func (t *Table) SetPeerLeaving(now time.Time, incarnation string) bool {
+	s := t.servers[incarnationID(incarnation)]
+	if s == nil || s.Incarnation() != incarnation {
+		return false
+	}
+	a := t.announced(now, incarnation)
+	news := !a.leaving
+	a.leaving, a.heardAt = true, now
+	return news
+}
+
+// Leaving returns the incarnations that said to this entry VM after since that they leave.
+func (t *Table) Leaving(since time.Time) []string {
+	var leaving []string
+	for incarnation, a := range t.announcements {
+		if a.leaving && a.saidAt.After(since) {
+			leaving = append(leaving, incarnation)
+		}
+	}
+	return leaving
+}
+
 // SetWait records that a server that turned a call away asked for no further ones before retryAt. It returns the end of the
 // wait, which is bounded and a little later than asked, and whether that begins a wait.
 func (t *Table) SetWait(now time.Time, of Server, retryAt time.Time) (until time.Time, begins bool) {
@@ -76,7 +100,7 @@
 	if until.After(a.waitUntil) {
 		a.waitUntil = until
 	}
-	a.saidAt = now
+	a.saidAt, a.heardAt = now, now
 	return a.waitUntil, begins
 }
 
--- a/core/placement/announcement_test.go
+++ b/core/placement/announcement_test.go
@@ -57,6 +57,24 @@
 	c.Check(a.HasServers(service), qt.IsFalse)
 }
 
+// TestPeersTellOfLeaving guards against news of a server that leaves that isn't passed on, is passed on for good, or concerns
+// another incarnation.
+func TestPeersTellOfLeaving(t *testing.T) {
+	c := qt.New(t)
+	a, b := table(1, 1), table(1, 2)
+	a.SetLeaving(start, server(0))
+	told := a.Leaving(start.Add(-time.Second))
+	c.Assert(told, qt.DeepEquals, []string{server(0).Incarnation()})
+	c.Check(a.Leaving(start.Add(time.Second)), qt.HasLen, 0)
+	c.Check(b.SetPeerLeaving(start, "s-0@1"), qt.IsFalse)
+	c.Check(b.SetPeerLeaving(start, "s-9@1000000"), qt.IsFalse)
+	c.Check(chosen(b, start, 1), qt.DeepEquals, map[string]int{"s-0": 1})
+	c.Check(b.SetPeerLeaving(start, told[0]), qt.IsTrue)
+	c.Check(b.SetPeerLeaving(start, told[0]), qt.IsFalse)
+	c.Check(chosen(b, start, 1), qt.HasLen, 0)
+	c.Check(b.Leaving(start.Add(-time.Second)), qt.HasLen, 0)
+}
+
 // TestNextServerCountsAsLeaving guards against a server that gets no calls because one before it, under its id or at its
 // address, said that it leaves.
 func TestNextServerCountsAsLeaving(t *testing.T) {
--- a/gateway/announcements_test.go
+++ b/gateway/announcements_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -266,3 +267,18 @@
 	f.c.Assert(b.successor.ID, qt.Not(qt.Equals), "")
 	f.c.Assert(b.last.ID, qt.Not(qt.Equals), b.successor.ID)
 }
+
+// TestPeerSendsToLeavingServer guards against entry VMs that send calls to a server that said to another one that it leaves.
+func TestPeerSendsToLeavingServer(t *testing.T) {
+	f, b := newAnnouncingFixture(t, leaveAtFirst(func() *fakeAnswer { return &fakeAnswer{status: 200, body: "whole"} }))
+	other := f.start("vm-2")
+	f.post("/read/1")
+	f.waitFor("news of the server", func() bool {
+		return slices.ContainsFunc(other.Dump().Servers, func(s placement.ServerDump) bool { return s.Leaving })
+	})
+	for range 20 {
+		f.serveAt(other, &call.Call{Path: "/read/1"})
+	}
+	f.c.Assert(len(b.servers()), qt.Equals, 21)
+	f.assertOnlyFirst(b)
+}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -66,6 +66,8 @@
 	Restored *keyed.Era `json:"restored,omitempty"`
 	// Limits are those that servers named to the sender lately, by incarnation.
 	Limits map[string]float64 `json:"limits,omitempty"`
+	// LeavingServers are the incarnations that lately said to the sender that they leave.
+	LeavingServers []string `json:"leavingServers,omitempty"`
 }
 
 // errInvalidHeartbeat is wrapped by the errors of heartbeats that no entry VM sends.
@@ -213,7 +215,7 @@
 	value, err := json.Marshal(heartbeat{
 		Incarnation: f.cfg.Incarnation, Address: f.cfg.Address.String(), Zone: f.cfg.Zone,
 		Leaving: f.leaving.Load(), Time: f.cfg.Now().UnixMilli(), Limits: f.servers.ownLimits(f.count()), Calls: f.servers.calls(),
-		Evidence: f.rollouts.evidence(), Restored: f.budgets.restoredEra(),
+		Evidence: f.rollouts.evidence(), Restored: f.budgets.restoredEra(), LeavingServers: f.servers.ownLeaving(f.count()),
 	})
 	if err != nil {
 		return eris.Wrap(err, "encode heartbeat")
@@ -273,6 +275,7 @@
 	}
 	if fresh && r.Key != f.cfg.Name {
 		f.servers.setPeerLimits(r.Key, h.Limits)
+		f.servers.setPeerLeaving(r.Key, h.LeavingServers)
 		f.rollouts.merge(r.Key, h.Evidence)
 	}
 	f.mu.Lock()
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -313,6 +313,25 @@
 	}
 }
 
+// setPeerLeaving records the servers that said to another entry VM that they leave.
+func (s *serverController) setPeerLeaving(vm string, incarnations []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Now()
+	for _, incarnation := range incarnations {
+		if s.table.SetPeerLeaving(now, incarnation) {
+			s.cfg.Events.Event(event.ServerLeaving, apexlog.Fields{"server": incarnation, "reportedBy": vm})
+		}
+	}
+}
+
+// ownLeaving returns the servers that said to this entry VM since the last heartbeats that they leave.
+func (s *serverController) ownLeaving(vms int) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Leaving(s.cfg.Now().Add(-2 * announceInterval(vms)))
+}
+
 // setWait records that a server that turned a call away wants no further ones for delay. With err, what it named is no time.
 func (s *serverController) setWait(of placement.Server, delay time.Duration, err error) {
 	fields := apexlog.Fields{"server": of.ID, "born": of.Born}
