--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -71,6 +71,8 @@
 	Restored *keyed.Era `json:"restored,omitempty"`
 	// Limits are those that servers named to the sender lately, by incarnation.
 	Limits map[string]float64 `json:"limits,omitempty"`
+	// LeavingServers are the incarnations that lately said to the sender that they leave.
+	LeavingServers []string `json:"leavingServers,omitempty"`
 }
 
 // errInvalidHeartbeat is wrapped by the errors of heartbeats that no entry VM sends.
@@ -223,7 +225,7 @@
 	value, err := json.Marshal(heartbeat{
 		Incarnation: f.cfg.Incarnation, Address: f.cfg.Address.String(), Zone: f.cfg.Zone,
 		Leaving: f.leaving.Load(), Time: f.cfg.Now().UnixMilli(), Limits: f.servers.ownLimits(f.count()), Calls: f.servers.calls(),
-		Evidence: f.rollouts.evidence(), Restored: f.budgets.restoredEra(),
+		Evidence: f.rollouts.evidence(), Restored: f.budgets.restoredEra(), LeavingServers: f.servers.ownLeaving(f.count()),
 	})
 	if err != nil {
 		return eris.Wrap(err, "encode heartbeat")
@@ -286,6 +288,7 @@
 	}
 	if r.Key != f.cfg.Name {
 		f.servers.setPeerLimits(r.Key, h.Limits)
+		f.servers.setPeerLeaving(r.Key, h.LeavingServers)
 		f.rollouts.merge(r.Key, h.Evidence)
 	}
 	f.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,11 @@
 	// RequestLimit returns the number of requests a second that the server takes from all entry VMs together. It reports
 	// false if the server names no limit.
 	RequestLimit() (float64, bool)
+	// Leaving reports whether the server says that it leaves.
+	Leaving() bool
+	// RetryDelay returns the time for which a server that turned the call away wants no further ones, 0 if it names none. It
+	// fails if what it names is no time.
+	RetryDelay() (time.Duration, error)
 	// IsEventStream reports whether the body is an event stream.
 	IsEventStream() bool
 	// Body reads the whole body.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -239,7 +239,11 @@
 	stream      bool
 	body        string
 	limit       float64
-	events      []Event
+	leaving     bool
+	// retryDelay and retryError are what the answer says of the time to wait.
+	retryDelay time.Duration
+	retryError error
+	events     []Event
 	// end is the error after the last event, io.EOF by default.
 	end    error
 	next   int
@@ -259,6 +263,10 @@
 
 func (a *fakeAnswer) RequestLimit() (float64, bool) { return a.limit, a.limit > 0 }
 
+func (a *fakeAnswer) Leaving() bool { return a.leaving }
+
+func (a *fakeAnswer) RetryDelay() (time.Duration, error) { return a.retryDelay, a.retryError }
+
 func (a *fakeAnswer) Body(int64) ([]byte, error) { return []byte(a.body), a.end }
 func (a *fakeAnswer) Close()                     {}
 func (a *fakeAnswer) CloseConnection()           { a.connectionClosed = true }
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -245,11 +245,12 @@
 	return s.table.HasServers(service)
 }
 
-// nextToken returns when a server that is at its limit takes a call again, zero if none is at its limit.
-func (s *serverController) nextToken(service string) time.Time {
+// nextCall returns when a server that is at its limit, or asked for a wait, takes a call again; zero if there is none to wait
+// for.
+func (s *serverController) nextCall(service string) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.NextToken(s.cfg.Now(), service)
+	return s.table.NextCall(s.cfg.Now(), service)
 }
 
 func (s *serverController) firstEvent(p *placement.Placement) {
@@ -303,6 +304,58 @@
 	}
 }
 
+// setLeaving records that a server said in an answer that it leaves.
+func (s *serverController) setLeaving(of placement.Server, status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table.SetLeaving(s.cfg.Now(), of) {
+		s.cfg.Events.Event(event.ServerLeaving, apexlog.Fields{"server": of.ID, "born": of.Born, "status": status})
+	}
+}
+
+// setPeerLeaving records the servers that said to another entry VM that they leave.
+func (s *serverController) setPeerLeaving(vm string, incarnations []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Now()
+	for _, incarnation := range incarnations {
+		if s.table.SetPeerLeaving(now, incarnation) {
+			s.cfg.Events.Event(event.ServerLeaving, apexlog.Fields{"server": incarnation, "reportedBy": vm})
+		}
+	}
+}
+
+// ownLeaving returns the servers that said to this entry VM since the last heartbeats that they leave.
+func (s *serverController) ownLeaving(vms int) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Leaving(s.cfg.Now().Add(-2 * announceInterval(vms)))
+}
+
+// setWait records that a server that turned a call away wants no further ones for delay. With err, what it named is no time.
+func (s *serverController) setWait(of placement.Server, delay time.Duration, err error) {
+	fields := apexlog.Fields{"server": of.ID, "born": of.Born}
+	if err != nil {
+		fields["error"] = err.Error()
+		s.cfg.Events.Event(event.ServerWait, fields)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Now()
+	if until, begins := s.table.SetWait(now, of, now.Add(delay)); begins {
+		fields["askedMs"], fields["until"] = delay.Milliseconds(), until
+		s.cfg.Events.Event(event.ServerWait, fields)
+	}
+}
+
+// takesCalls reports whether a placed call may still be sent to its server.
+func (s *serverController) takesCalls(p placement.Placement) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.TakesCalls(s.cfg.Now(), p)
+}
+
 // newLimitNews returns news of a limit that holds until entry VMs have had time to pass on newer ones.
 func newLimitNews(now time.Time, vms int, perSecond float64) placement.LimitNews {
 	return placement.LimitNews{PerSecond: perSecond, Limited: true, Until: now.Add(limitRetention + 2*announceInterval(vms))}
