gateway: a process that starts relies on those that remember the era before

What callers would see: as before, more tokens than a team has.

Fix: heartbeats say in which era their sender may reserve tokens. A process that has read no earlier era reserves once another one says so, or after 8 s; one that remembers the era before waits for all that it knows, as before. TestProcessStartsIntoEmptyLedger starts two processes now.

--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -122,6 +122,21 @@
 	return first
 }
 
+// settledEra is the latest era in which tokens of all partitions may be reserved, nil if there is none.
+func (b *budgetController) settledEra() *keyed.Era {
+	var first *keyed.Era
+	for _, lp := range b.partitions {
+		era := lp.settledEra()
+		if era == nil {
+			return nil
+		}
+		if first == nil || *era < *first {
+			first = era
+		}
+	}
+	return first
+}
+
 func (b *budgetController) isReady() bool {
 	for _, lp := range b.partitions {
 		if !lp.isReady() {
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -69,6 +69,8 @@
 	// Restored is the latest era of the log in which the ledger has had all reservations that the sender knows. It is missing
 	// if the sender hasn't read the ledger yet.
 	Restored *keyed.Era `json:"restored,omitempty"`
+	// Settled is the latest era of the log in which the sender may reserve tokens; it is missing if there is none.
+	Settled *keyed.Era `json:"settled,omitempty"`
 	// Limits are those that servers named to the sender lately, by incarnation.
 	Limits map[string]float64 `json:"limits,omitempty"`
 	// LeavingServers are the incarnations that lately said to the sender that they leave.
@@ -126,10 +128,10 @@
 	primaries map[string][]string
 	// loaded is set once the last heartbeats of the others were read; before that no primaries are chosen.
 	loaded bool
-	// restored holds the eras that the members have confirmed in heartbeats. established is set once a snapshot had a
-	// heartbeat of its own era.
-	restored    map[string]keyed.Era
-	established bool
+	// restored holds the eras that the members have confirmed in heartbeats, settled is the latest one in which one of them
+	// may reserve tokens.
+	restored map[string]keyed.Era
+	settled  keyed.Era
 	// calls holds the calls that the other entry VMs had lately, by name and service.
 	calls map[string]map[string]int
 	// leaving is set when this entry VM stops.
@@ -225,7 +227,7 @@
 	value, err := json.Marshal(heartbeat{
 		Incarnation: f.cfg.Incarnation, Address: f.cfg.Address.String(), Zone: f.cfg.Zone,
 		Leaving: f.leaving.Load(), Time: f.cfg.Now().UnixMilli(), Limits: f.servers.ownLimits(f.count()), Calls: f.servers.calls(),
-		Evidence: f.rollouts.evidence(), Restored: f.budgets.restoredEra(), LeavingServers: f.servers.ownLeaving(f.count()),
+		Evidence: f.rollouts.evidence(), Restored: f.budgets.restoredEra(), Settled: f.budgets.settledEra(), LeavingServers: f.servers.ownLeaving(f.count()),
 	})
 	if err != nil {
 		return eris.Wrap(err, "encode heartbeat")
@@ -259,9 +261,7 @@
 	defer f.mu.Unlock()
 	oldest := latestTime(f.cfg.Now(), listed).Add(-max(maxListedAge, 2*announceInterval(len(listed))))
 	for name, h := range listed {
-		if h.Restored != nil && *h.Restored >= f.follow.era {
-			f.established = true
-		}
+		f.setSettled(h)
 		if _, known := f.members[name]; known || !f.loaded && !time.UnixMilli(h.Time).Before(oldest) {
 			f.set(name, h, false)
 		}
@@ -312,6 +312,7 @@
 // sender's clock. The caller holds mu.
 func (f *fleetController) set(name string, h heartbeat, fresh bool) {
 	now := f.cfg.Now()
+	f.setSettled(h)
 	f.members[name] = now
 	if h.Restored != nil {
 		f.restored[name] = *h.Restored
@@ -350,28 +351,32 @@
 // memberTimeoutOf returns how long an entry VM counts as live after its last heartbeat in a fleet of n.
 func memberTimeoutOf(n int) time.Duration { return max(memberTimeout, 2*announceInterval(n)) }
 
-// haveRestored reports whether all other live entry VMs have confirmed an era of the log. In its first era, those that
-// haven't read it yet have nothing to put back.
-func (f *fleetController) haveRestored(era keyed.Era) bool {
+// setSettled takes note of the era in which the sender of a heartbeat may reserve tokens. The caller holds mu.
+func (f *fleetController) setSettled(h heartbeat) {
+	if h.Settled != nil {
+		f.settled = max(f.settled, *h.Settled)
+	}
+}
+
+// haveRestored reports whether the others have put back what they know in an era of the log. An entry VM that remembers an
+// earlier era knows who they are. Any other one relies on those that do, as the list of entry VMs may be restored as
+// well. In the first era nothing was lost.
+func (f *fleetController) haveRestored(era keyed.Era, remembers bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.loaded {
-		return false
+	if !remembers {
+		return era <= firstEra || f.settled >= era
 	}
 	now, timeout := f.cfg.Now(), memberTimeoutOf(len(f.members))
-	others := 0
 	for name, seen := range f.members {
 		if name == f.cfg.Name || now.Sub(seen) >= timeout {
 			continue
 		}
-		others++
-		restored, known := f.restored[name]
-		if known && restored < era || !known && era > firstEra {
+		if restored, known := f.restored[name]; !known || restored < era {
 			return false
 		}
 	}
-	// Without other entry VMs, and without a heartbeat of this era, the list may be of a time before they started.
-	return others > 0 || f.established || era <= firstEra
+	return true
 }
 
 // count is the number of live entry VMs, this one included. It removes those whose heartbeats have stopped.
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -38,8 +38,10 @@
 	// reserved, restoreAnnounced once all was written again in the era.
 	putBack                      escrow.PutBack
 	mayReserve, restoreAnnounced bool
-	// eraRead is set once the first snapshot of the era was applied.
-	eraRead bool
+	// eraRead is set once the first snapshot of the era was applied, remembersEra if an earlier era was read before.
+	eraRead, remembersEra bool
+	// lastSettledEra is the last era in which tokens could be reserved, nil before the first.
+	lastSettledEra *keyed.Era
 	// lastRestoredEra is the last era in which all was written again, nil before the first.
 	lastRestoredEra *keyed.Era
 	// logDown is set while the log is unavailable.
--- a/gateway/putback.go
+++ b/gateway/putback.go
@@ -30,6 +30,7 @@
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
 	era := uint64(lp.follow.era)
+	lp.remembersEra = restored
 	lp.putBack.Begin(now, era)
 	lp.mayReserve, lp.restoreAnnounced, lp.eraRead = false, false, false
 	for _, a := range lp.accounts {
@@ -64,6 +65,20 @@
 	return lp.lastRestoredEra
 }
 
+// settledEra is the latest era in which tokens may be reserved, nil if there is none.
+func (lp *ledgerPartition) settledEra() *keyed.Era {
+	lp.mu.Lock()
+	defer lp.mu.Unlock()
+	return lp.lastSettledEra
+}
+
+// remembers reports whether this process has read an earlier era of the log.
+func (lp *ledgerPartition) remembers() bool {
+	lp.mu.Lock()
+	defer lp.mu.Unlock()
+	return lp.remembersEra
+}
+
 // isRestored reports whether the log has all the records that this entry VM knows. The caller holds mu.
 func (lp *ledgerPartition) isRestored() bool {
 	if !lp.eraRead || !lp.putBack.IsDone() {
@@ -113,12 +128,17 @@
 	if lp.announceRestored() {
 		lp.budgets.fleet.requestAnnounce()
 	}
-	othersDone := lp.budgets.fleet.haveRestored(era)
+	othersDone := lp.budgets.fleet.haveRestored(era, lp.remembers())
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
 	now := lp.budgets.cfg.Now()
 	if !lp.mayReserve && lp.isRestored() && lp.putBack.MayReserve(now, othersDone) {
 		lp.mayReserve = true
+		lp.lastSettledEra = &era
+		if lp.remembersEra {
+			// Entry VMs that have just started wait for this one's word.
+			lp.budgets.fleet.requestAnnounce()
+		}
 		lp.notifyWaiters()
 		lp.budgets.cfg.Events.Event(event.ReservingAgain, apexlog.Fields{
 			"partition": lp.follow.partition.Number, "era": era, "waitedMs": lp.putBack.Waited(now).Milliseconds(), "othersDone": othersDone,
@@ -143,9 +163,9 @@
 func (lp *ledgerPartition) waitsForOthers() bool {
 	lp.mu.Lock()
 	waiting := !lp.mayReserve && lp.isRestored() && lp.putBack.Waited(lp.budgets.cfg.Now()) < escrow.PutBackTimeout
-	era := keyed.Era(lp.putBack.Era())
+	era, remembers := keyed.Era(lp.putBack.Era()), lp.remembersEra
 	lp.mu.Unlock()
-	return waiting && !lp.eraChanged.Load() && !lp.budgets.fleet.haveRestored(era)
+	return waiting && !lp.eraChanged.Load() && !lp.budgets.fleet.haveRestored(era, remembers)
 }
 
 // restateOwn writes the records of this process that a restored log may lack and returns their number. They neither
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -127,12 +127,13 @@
 	f.waitFor("era", func() bool { return !f.gateway.budgets.isPuttingBack() && *f.gateway.budgets.restoredEra() == 5 })
 	sum := f.spend(60_000, f.gateway)
 	f.log.restore(nil, nil)
-	started := f.start("vm-3")
+	// The word of a process that has just started as well says nothing about the others.
+	started, also := f.start("vm-3"), f.start("vm-4")
 	f.waitWithin(2*escrow.PutBackTimeout, "reserving again", func() bool {
-		sum += f.spend(200_000, started)
+		sum += f.spend(200_000, started, also)
 		return !started.budgets.isPuttingBack() && !f.gateway.budgets.isPuttingBack()
 	})
-	sum += f.spend(200_000, started, f.gateway)
+	sum += f.spend(200_000, started, also, f.gateway)
 	f.c.Assert(sum <= 100_000, qt.IsTrue, qt.Commentf("%d tokens", sum))
 }
 
