core/escrow: a record that others put back counts also after a second restoration

Cause: at a restoration the confirmed record got the number of the last write of the process, which starts with the time of its start. TestRecordPutBackByOthersIsIgnored failed before: 0 tokens used instead of 5,000. It gets the highest number of the writes that were sent now. This code runs only when the store's era changes.

--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -254,9 +254,9 @@
 	a.era = era
 	for _, w := range a.pending {
 		a.confirmed.Reserved = min(a.confirmed.Reserved, w.record.Reserved)
+		a.confirmed.Sequence = max(a.confirmed.Sequence, w.record.Sequence)
 	}
 	a.pending = nil
-	a.confirmed.Sequence = a.sequence
 	a.unstated = a.writeAccepted
 }
 
--- a/core/escrow/pending_test.go
+++ b/core/escrow/pending_test.go
@@ -47,3 +47,16 @@
 	write(a.Plan(now, now, policy, limit, &reservations), 2, 3)
 	c.Assert(a.Admit(now, 9000), qt.IsTrue)
 }
+
+// TestRecordPutBackByOthersIsIgnored guards against a process that forgets what its predecessor used, as the others put its
+// record back only after a second restoration.
+func TestRecordPutBackByOthersIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	old := escrow.Record{Reserved: 5000, Base: 4000, Used: 4000, At: now.UnixMilli(), Sequence: 7, Era: 1}
+	a := escrow.NewAccount(now, "vm-1", escrow.Record{}, 2)
+	a.Restored(3)
+	a.Observe(old, 1)
+	c.Assert(a.Used(), qt.Equals, int64(5000))
+	c.Assert(a.Available(now) <= 0, qt.IsTrue)
+}
