gateway: a process that never could reserve tokens doesn't count as one that remembers

It relies on the word of others now until it could reserve tokens once. TestUnsettledProcessTrustsItself failed before. This code runs only when the store's era changes.

--- a/gateway/putback.go
+++ b/gateway/putback.go
@@ -30,7 +30,7 @@
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
 	era := uint64(lp.follow.era)
-	lp.remembersEra = restored
+	lp.remembersEra = restored && lp.lastSettledEra != nil
 	lp.putBack.Begin(now, era)
 	lp.mayReserve, lp.restoreAnnounced, lp.eraRead = false, false, false
 	for _, a := range lp.accounts {
@@ -72,7 +72,7 @@
 	return lp.lastSettledEra
 }
 
-// remembers reports whether this process has read an earlier era of the log.
+// remembers reports whether this process could reserve tokens in an earlier era of the log, so that it knows the others.
 func (lp *ledgerPartition) remembers() bool {
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -281,3 +281,24 @@
 	latest, _ := f.gateway.rollouts.changes.Latest(service)
 	return latest.Rule.New
 }
+
+// TestUnsettledProcessTrustsItself guards against a process that reserves tokens because all whom it knows have put back
+// their reservations, although it started into a restored log and doesn't know everyone.
+func TestUnsettledProcessTrustsItself(t *testing.T) {
+	f := newFixture(t)
+	lp := f.gateway.budgets.partitions[0]
+	lp.ioMu.Lock()
+	defer lp.ioMu.Unlock()
+	now := time.Now()
+	lp.mu.Lock()
+	lp.lastSettledEra = nil
+	lp.mu.Unlock()
+	lp.beginEra(now, true)
+	f.c.Assert(lp.remembers(), qt.IsFalse)
+	era := keyed.Era(1)
+	lp.mu.Lock()
+	lp.lastSettledEra = &era
+	lp.mu.Unlock()
+	lp.beginEra(now, true)
+	f.c.Assert(lp.remembers(), qt.IsTrue)
+}
