standin/platform: faults apply to a request from its arrival

Cause: the stand-in counted an append in one step and read its faults in a later one. The test ends the hang once the append is counted; if the handler was suspended in between, it saw no fault and stored the append.

Fix: counting and reading the faults are one step under the lock, for appends and reads.

Evidence: TestAppendIsSubjectToFaultsOfItsArrival ends the hang between head and body of an append; before the fix the append was stored (200, offset 0), now its connection is closed.

--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -159,6 +160,35 @@
 	}
 }
 
+// TestAppendIsSubjectToFaultsOfItsArrival guards against an append that is stored although it arrived during an outage,
+// because the outage ended before its body did.
+func TestAppendIsSubjectToFaultsOfItsArrival(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server := standin.New(standin.Config{})
+	server.Start(l)
+	c.Cleanup(server.Close)
+	c.Assert(server.SetFaults(standin.Faults{Log: standin.LogHang}), qt.IsNil)
+
+	conn, err := net.Dial("tcp", l.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	_, err = fmt.Fprint(conn, "POST /v1/streams/config/records HTTP/1.1\r\nHost: log\r\nConnection: close\r\nContent-Length: 3\r\n\r\n[")
+	c.Assert(err, qt.IsNil)
+	for server.Stats().AppendRequests == 0 {
+		runtime.Gosched()
+	}
+	c.Assert(server.SetFaults(standin.Faults{}), qt.IsNil)
+	_, err = fmt.Fprint(conn, "1]")
+	c.Assert(err, qt.IsNil)
+
+	answer, err := io.ReadAll(conn)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(answer), qt.Equals, "")
+	c.Assert(server.Entries("config"), qt.HasLen, 0)
+}
+
 // TestDelayedDuplicate guards against a stand-in whose duplicate of an append comes too early, twice or never.
 func TestDelayedDuplicate(t *testing.T) {
 	c := qt.New(t)
--- a/standin/platform/routes.go
+++ b/standin/platform/routes.go
@@ -31,11 +31,9 @@
 }
 
 func (s *Server) handleAppend(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	s.stats.AppendRequests++
-	s.mu.Unlock()
+	faults := s.beginRequest(&s.stats.AppendRequests)
 	data, ok := host.ReadBody(w, r, s.cfg.MaxBatchBytes)
-	if !ok || !s.applyLogFaults(w, r) {
+	if !ok || !applyLogFaults(w, r, faults) {
 		return
 	}
 	if !json.Valid(data) {
@@ -87,11 +85,29 @@
 	st.pendingDuplicates = append(st.pendingDuplicates, delayedDuplicate{data: data, remaining: s.faults.DuplicateAfter - 1})
 }
 
-// applyLogFaults applies the faults of the log to a request and reports whether the request is to proceed.
-func (s *Server) applyLogFaults(w http.ResponseWriter, r *http.Request) bool {
+// activeFaults are the faults that apply to a request.
+type activeFaults struct {
+	Faults
+	// changed is closed when the faults of the stand-in are replaced.
+	changed <-chan struct{}
+}
+
+// beginRequest increments counter and returns the faults that apply to the request. Both happen in one step: a test
+// that has seen the counter may end the faults.
+func (s *Server) beginRequest(counter *uint64) activeFaults {
 	s.mu.Lock()
-	f, changed := s.faults, s.faultsChanged
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	*counter++
+	return s.activeFaults()
+}
+
+// activeFaults returns the faults that are active now. The caller holds mu.
+func (s *Server) activeFaults() activeFaults {
+	return activeFaults{Faults: s.faults, changed: s.faultsChanged}
+}
+
+// applyLogFaults applies the faults of the log to a request and reports whether the request is to proceed.
+func applyLogFaults(w http.ResponseWriter, r *http.Request, f activeFaults) bool {
 	if !f.Until.IsZero() && !time.Now().Before(f.Until) {
 		f.Log = LogUp
 	}
@@ -101,7 +117,7 @@
 		return false
 	case LogHang:
 		// The request is dropped even if the fault ends first, since its caller may have left unnoticed.
-		waitForFaultChange(r.Context(), f.Until, changed)
+		waitForFaultChange(r.Context(), f.Until, f.changed)
 		host.AbortConnection()
 	case LogCut, LogRefused:
 		host.AbortConnection()
@@ -178,10 +194,7 @@
 		host.WriteError(w, http.StatusBadRequest, "badRequest", err.Error())
 		return
 	}
-	s.mu.Lock()
-	s.stats.Reads++
-	s.mu.Unlock()
-	if !s.applyLogFaults(w, r) {
+	if !applyLogFaults(w, r, s.beginRequest(&s.stats.Reads)) {
 		return
 	}
 	deadline := time.After(q.wait)
@@ -200,7 +213,10 @@
 			return
 		}
 		// An outage that begins during a long poll ends it.
-		if !s.applyLogFaults(w, r) {
+		s.mu.Lock()
+		current := s.activeFaults()
+		s.mu.Unlock()
+		if !applyLogFaults(w, r, current) {
 			return
 		}
 	}
