soak: soaks that run at the same time use different loopback networks

Cause: the network was a function of the seed's place in the run. Now the first network whose store address is free is taken.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -91,7 +92,31 @@
 // store, 4 proxy to a backend server, 5 entry VM.
 func (f *fleet) ip(kind, i int) string { return fmt.Sprintf("127.%d.%d.%d", f.network, kind, i+1) }
 
-func startFleet(binary, dir string, network int) (*fleet, error) {
+// Loopback networks of the soak are 127.firstNetwork to 127.(firstNetwork + networks - 1).
+const (
+	firstNetwork = 40
+	networks     = 180
+)
+
+// listenStore listens at the store's address in the first free network, counted from preferred. Other networks are
+// used by soaks that run at the same time.
+func listenStore(preferred int) (l net.Listener, network int, err error) {
+	for i := range networks {
+		network = firstNetwork + (preferred+i)%networks
+		l, err = net.Listen("tcp4", fmt.Sprintf("127.%d.1.1:%d", network, storePort))
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return l, network, err
+		}
+	}
+	return nil, 0, err
+}
+
+// startFleet starts a fleet in the first free network, counted from preferred.
+func startFleet(binary, dir string, preferred int) (*fleet, error) {
+	listener, network, err := listenStore(preferred)
+	if err != nil {
+		return nil, err
+	}
 	f := &fleet{
 		network: network, dir: dir, binary: binary, store: keyedlog.New(), arrivals: &arrivalLog{}, prepaid: map[string]int64{},
 		done: make(chan struct{}),
@@ -102,10 +127,6 @@
 		f.addPrepaid(t, initialPrepaid)
 	}
 	f.publish()
-	listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", f.ip(1, 0), storePort))
-	if err != nil {
-		return nil, err
-	}
 	f.storeServer = &http.Server{Handler: f.store}
 	go func() { _ = f.storeServer.Serve(listener) }()
 	for i := range backendCount {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,20 +52,20 @@
 			t.Parallel()
 			limit <- struct{}{}
 			defer func() { <-limit }()
-			runSeed(t, binary, seed, 40+i%180)
+			runSeed(t, binary, seed, i)
 		})
 	}
 }
 
-// runSeed runs one seed in its own loopback network.
-func runSeed(t *testing.T, binary string, seed uint64, network int) {
+// runSeed runs one seed in a loopback network of its own, the first free one counted from preferred.
+func runSeed(t *testing.T, binary string, seed uint64, preferred int) {
 	dir := t.TempDir()
 	log, err := newFaultLog(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer log.close()
-	f, err := startFleet(binary, dir, network)
+	f, err := startFleet(binary, dir, preferred)
 	if err != nil {
 		t.Fatal(err)
 	}
