gateway: a stream that a caller resumes begins after the event that the caller has

What callers saw: after a caller had resumed a stream by the id of its last event, events that it had already, if the server began anew (ORDER).

Cause: the check that an answer goes on with the next event knew only events of the same answer, not the one that the caller named.

Fix: the sequence of events begins with the caller's last one. By how much ids rise isn't known then, so the first one must only be higher.

Evidence: TestCallerGetsEventsAgain failed before (first events 1 and 2 after id 2), passes now; TestSoundResumptionIsRejected passes before and after.

--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"ibiswinch/core/call"
 )
 
 // brokenStream is a stream that breaks off after some events.
@@ -80,3 +82,26 @@
 		f.c.Check(f.post("/chat/1").finished, qt.IsTrue, qt.Commentf("%q", test))
 	}
 }
+
+// TestCallerGetsEventsAgain guards against events that a caller who resumes a stream has already, when the server doesn't go on
+// after the one that the caller named.
+func TestCallerGetsEventsAgain(t *testing.T) {
+	for _, first := range []string{"1", "2"} {
+		f := newFixture(t, sendResult{answer: wholeStream(first, "7")}, sendResult{answer: wholeStream("3", "4")})
+		r := f.serve(&call.Call{Path: "/chat/1", LastEventID: "2"})
+		f.c.Check(r.body, qt.Equals, "id:3\n\nid:4\n\n", qt.Commentf("first event %s", first))
+	}
+}
+
+// TestSoundResumptionIsRejected guards against giving up a stream that a caller resumes because its ids aren't consecutive.
+func TestSoundResumptionIsRejected(t *testing.T) {
+	for _, ids := range [][]string{{"3", "4"}, {"6", "10"}, {"b", "c"}} {
+		f := newFixture(t, sendResult{answer: wholeStream(ids...)})
+		last := "2"
+		if ids[0] == "b" {
+			last = "a"
+		}
+		r := f.serve(&call.Call{Path: "/chat/1", LastEventID: last})
+		f.c.Check(r.body, qt.Equals, "id:"+ids[0]+"\n\nid:"+ids[1]+"\n\n")
+	}
+}
--- a/gateway/sequence.go
+++ b/gateway/sequence.go
@@ -14,6 +14,15 @@
 	// differed.
 	step      int64
 	irregular bool
+	// resumed is set while last was named by a caller who resumes a stream of before: by how much the next number is above
+	// it isn't known.
+	resumed bool
+}
+
+// resumeAfter begins with the last event that a caller has of an earlier stream.
+func (s *eventSequence) resumeAfter(id string) {
+	s.add(id)
+	s.resumed = true
 }
 
 // continues reports whether the first event of an attempt may follow the last one of the attempt before.
@@ -28,7 +37,7 @@
 	switch {
 	case err != nil:
 		return false
-	case s.irregular:
+	case s.irregular, s.resumed:
 		return number > s.number
 	}
 	return number == s.number+max(s.step, 1)
@@ -43,10 +52,10 @@
 // add appends an event that was forwarded.
 func (s *eventSequence) add(id string) {
 	number, err := strconv.ParseInt(id, 10, 64)
-	if err == nil && s.isNumber {
+	if err == nil && s.isNumber && !s.resumed {
 		step := number - s.number
 		s.irregular = s.irregular || s.step != 0 && s.step != step
 		s.step = step
 	}
-	s.last, s.number, s.isNumber = id, number, err == nil
+	s.last, s.number, s.isNumber, s.resumed = id, number, err == nil, false
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -49,6 +49,9 @@
 		}
 	}
 	x := &exchange{g: g, request: r, service: r.route.ChooseService(g.servers.random())}
+	if r.route.Kind == call.Stream && r.LastEventID != "" {
+		x.forwarded.resumeAfter(r.LastEventID)
+	}
 	x.run(ctx)
 	g.budgets.settleCall(r.team, r.heldTokens, x.usedTokens())
 	x.logEnd()
