core/escrow: tokens that were reserved for a waiting call are not returned

What callers saw: a call was refused 503 (`budgetUnavailable`, no tokens could be reserved) after 0.12 s of waiting, though its tokens were free in the ledger all the while.

Account.nextWrite compared unused tokens with the target only and left out those that calls wait for. The same held for the returns of a secondary and for what it hands to a primary (GiveSurplus).

Fix: as long as the unused tokens suffice for the smallest waiting call, what calls wait for is kept as well as the target. If they suffice for none, they are returned as before, so that entry VMs don't each keep a part of the last tokens of a budget.

--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -81,8 +82,9 @@
 	rateAt        time.Time
 	// rateBeforeDrain is the rate at the start of a planned stop.
 	rateBeforeDrain float64
-	// waiting is the sum of tokens that calls wait for.
-	waiting int64
+	// waiting is the sum of tokens that calls wait for, waitingCalls the number of waiting calls by their tokens.
+	waiting      int64
+	waitingCalls map[int64]int
 }
 
 // Unconditional is the expected end of a write that may be applied at any end of the partition.
@@ -209,7 +211,13 @@
 func (a *Account) Receive(tokens int64) { a.credit += tokens }
 
 // AddWaiting records that a call waits for tokens.
-func (a *Account) AddWaiting(tokens int64) { a.waiting += tokens }
+func (a *Account) AddWaiting(tokens int64) {
+	if a.waitingCalls == nil {
+		a.waitingCalls = map[int64]int{}
+	}
+	a.waitingCalls[tokens]++
+	a.waiting += tokens
+}
 
 // Waiting returns the sum of tokens that calls wait for.
 func (a *Account) Waiting() int64 { return a.waiting }
@@ -221,7 +229,21 @@
 }
 
 // RemoveWaiting records that a call no longer waits for tokens.
-func (a *Account) RemoveWaiting(tokens int64) { a.waiting -= tokens }
+func (a *Account) RemoveWaiting(tokens int64) {
+	a.waitingCalls[tokens]--
+	if a.waitingCalls[tokens] == 0 {
+		delete(a.waitingCalls, tokens)
+	}
+	a.waiting -= tokens
+}
+
+// smallestWaiting returns the tokens of the smallest waiting call, 0 if none waits.
+func (a *Account) smallestWaiting() int64 {
+	if len(a.waitingCalls) == 0 {
+		return 0
+	}
+	return slices.Min(slices.Collect(maps.Keys(a.waitingCalls)))
+}
 
 // Settle releases the held tokens of a finished call and charges the used ones.
 func (a *Account) Settle(now time.Time, held, used int64) {
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -95,8 +95,9 @@
 	if len(a.pending) > 0 || now.Sub(a.sentAt) < policy.RefreshInterval {
 		return None, 0
 	}
-	if a.confirmed.Reserved > a.confirmed.Base && idle > policy.IdleReserve {
-		return Return, a.confirmed.Reserved - (idle - policy.IdleReserve)
+	keep := a.keep(policy.IdleReserve)
+	if a.confirmed.Reserved > a.confirmed.Base && idle > keep {
+		return Return, a.confirmed.Reserved - (idle - keep)
 	}
 	if a.spent-a.confirmed.Used > minWriteTokens {
 		return Refresh, a.confirmed.Reserved
@@ -104,9 +105,19 @@
 	return None, 0
 }
 
+// keep returns the number of unused tokens that are neither returned nor given away: the target, and at least what calls
+// wait for if one of them can be admitted, as it may not have tried again yet. Tokens that are too few for each of the
+// waiting calls may suffice for a call elsewhere.
+func (a *Account) keep(target int64) int64 {
+	if a.waiting == 0 || a.smallestWaiting() > a.Idle() {
+		return target
+	}
+	return max(target, a.waiting)
+}
+
 // GiveSurplus takes the tokens that a secondary doesn't need out of its account, to be given to a primary.
 func (a *Account) GiveSurplus(now time.Time, policy Policy) int64 {
-	n := a.Available(now) - policy.IdleReserve
+	n := a.Available(now) - a.keep(policy.IdleReserve)
 	if !policy.Secondary || n < minWriteTokens {
 		return 0
 	}
@@ -152,7 +163,7 @@
 
 func (a *Account) nextWrite(now time.Time, want int64, policy Policy, limit int64, reservations *Reservations) (Reason, int64) {
 	target := a.target(want, policy, limit, reservations)
-	idle := a.Idle()
+	idle, keep := a.Idle(), a.keep(target)
 	free := max(reservations.Free(limit), 0)
 	shortfall := max(a.waiting-idle, 0)
 	switch {
@@ -160,8 +171,8 @@
 		return Raise, a.confirmed.Reserved + min(max(target-idle, shortfall), free)
 	case idle*100 < target*refillBelowPercent && free > 0 && target-idle >= min(minWriteTokens, free):
 		return Raise, a.confirmed.Reserved + min(target-idle, free)
-	case idle*100 > target*returnAbovePercent && idle-target > minWriteTokens && len(a.pending) == 0:
-		return Return, a.confirmed.Reserved - (idle - target)
+	case idle*100 > keep*returnAbovePercent && idle-keep > minWriteTokens && len(a.pending) == 0:
+		return Return, a.confirmed.Reserved - (idle - keep)
 	case a.waiting > max(a.Available(now), 0) && a.waiting <= idle || a.stale(now, policy):
 		return Refresh, a.confirmed.Reserved
 	}
