gateway: a planned stop puts back the reservations of others

Cause: a process that stops in a restored store wrote its own record again, but not those of others.

Fix: before it returns its tokens, a process writes all the known records that the store lacks, on the condition that it has read the partition to its end. It doesn't leave them to their holders first, as it won't be there later.

--- a/core/escrow/putback.go
+++ b/core/escrow/putback.go
@@ -47,6 +47,11 @@
 	if now.Sub(p.since) < putBackDelay {
 		return nil
 	}
+	return p.Missing()
+}
+
+// Missing returns the keys whose known records the store lacks, sorted.
+func (p *PutBack) Missing() []string {
 	keys := make([]string, 0, len(p.stale))
 	for key := range p.stale {
 		keys = append(keys, key)
--- a/gateway/putback.go
+++ b/gateway/putback.go
@@ -103,15 +103,13 @@
 	}
 	others := 0
 	if own == 0 {
-		if others, err = lp.restateOthers(ctx); err != nil {
+		others, err = lp.restateOthers(ctx, lp.putBack.Stale)
+		var conflict *keyed.ConflictError
+		if err != nil && !errors.As(err, &conflict) {
 			return false, err
 		}
 	}
-	if own+others > 0 {
-		lp.budgets.cfg.Events.Event(event.ReservationsPutBack, apexlog.Fields{
-			"partition": lp.follow.partition.Number, "era": lp.follow.era, "own": own, "others": others,
-		})
-	}
+	lp.logPutBack(own, others)
 	return lp.decideReserving(), nil
 }
 
@@ -210,19 +208,15 @@
 	return plans
 }
 
-// restateOthers writes the known records that are newer than those of the log, on the condition that nobody has written
+// restateOthers writes the known records of the first keys that choose returns, on the condition that nobody has written
 // since the partition was read. It returns their number.
-func (lp *ledgerPartition) restateOthers(ctx context.Context) (int, error) {
-	records, err := lp.staleRecords()
+func (lp *ledgerPartition) restateOthers(ctx context.Context, choose func(now time.Time) []string) (int, error) {
+	records, err := lp.knownRecords(choose)
 	if err != nil || len(records) == 0 {
 		return 0, err
 	}
 	expected := lp.follow.next
 	appended, err := lp.appendRecords(ctx, records, &expected)
-	var conflict *keyed.ConflictError
-	if errors.As(err, &conflict) {
-		return 0, nil
-	}
 	if err != nil {
 		return 0, err
 	}
@@ -235,12 +229,36 @@
 	return len(records), nil
 }
 
-// staleRecords returns the first known records that are newer than those of the log and that their holders haven't
-// written again in time.
-func (lp *ledgerPartition) staleRecords() ([]keyed.Record, error) {
+// restateMissing writes all known records that are newer than those of the log, for a process that stops. The partition has
+// just been read.
+func (lp *ledgerPartition) restateMissing(ctx context.Context) error {
+	missing := func(time.Time) []string { return lp.putBack.Missing() }
+	total := 0
+	for {
+		n, err := lp.restateOthers(ctx, missing)
+		total += n
+		if n == 0 || err != nil {
+			lp.logPutBack(0, total)
+			return err
+		}
+	}
+}
+
+// logPutBack logs the numbers of records that were written again.
+func (lp *ledgerPartition) logPutBack(own, others int) {
+	if own+others == 0 {
+		return
+	}
+	lp.budgets.cfg.Events.Event(event.ReservationsPutBack, apexlog.Fields{
+		"partition": lp.follow.partition.Number, "era": lp.follow.era, "own": own, "others": others,
+	})
+}
+
+// knownRecords returns the known records of the first keys that choose returns.
+func (lp *ledgerPartition) knownRecords(choose func(now time.Time) []string) ([]keyed.Record, error) {
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
-	keys := lp.putBack.Stale(lp.budgets.cfg.Now())
+	keys := choose(lp.budgets.cfg.Now())
 	var records []keyed.Record
 	for _, key := range keys[:min(len(keys), maxPutBackRecords)] {
 		team, holder, _ := strings.Cut(key, "/")
--- a/gateway/renew.go
+++ b/gateway/renew.go
@@ -237,7 +237,8 @@
 	}
 }
 
-// returnReservations returns all unused tokens to the ledger. There are no renewals afterwards.
+// returnReservations returns all unused tokens to the ledger, after it has put back the records that a restored log lacks.
+// There are no renewals afterwards.
 func (lp *ledgerPartition) returnReservations(ctx context.Context) error {
 	lp.ioMu.Lock()
 	defer lp.ioMu.Unlock()
@@ -251,6 +252,12 @@
 		if !lp.follow.started {
 			continue
 		}
+		if err = lp.restateMissing(ctx); err != nil {
+			if ctx.Err() != nil {
+				break
+			}
+			continue
+		}
 		lp.observe()
 		plans := lp.closingPlans()
 		if len(plans) == 0 {
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -74,12 +74,15 @@
 
 // newRestoredFixture returns gateways of two entry VMs and servers that answer all calls.
 func newRestoredFixture(t *testing.T) (*fixture, *Gateway) {
-	f := newFixtureWith(t, func(cfg *Config) {
-		cfg.Backend = backendFunc(func() (Answer, error) { return &fakeAnswer{status: 200, body: "ok"}, nil })
-	})
+	f := newFixtureWith(t, answerAll)
 	return f, f.start("vm-2")
 }
 
+// answerAll makes the servers answer all calls.
+func answerAll(cfg *Config) {
+	cfg.Backend = backendFunc(func() (Answer, error) { return &fakeAnswer{status: 200, body: "ok"}, nil })
+}
+
 // TestRestoredLedgerForgetsReservations guards against tokens that are reserved a second time after the log was restored
 // from a copy that lacks the newest reservations.
 func TestRestoredLedgerForgetsReservations(t *testing.T) {
@@ -152,6 +155,35 @@
 	f.c.Assert(record.Used, qt.Equals, sum)
 }
 
+// useKnownToOne makes vm-3 spend tokens so that of the others only knows learns of its reservation, and ends it. It returns
+// the ends of the log before that and the number of tokens.
+func (f *fixture) useKnownToOne(knows *Gateway) (ends map[keyed.Partition]int, sum int64) {
+	third, stop := f.startStoppable("vm-3")
+	ends = f.log.ends()
+	unaware := f.gateway.budgets.partitions[0]
+	unaware.ioMu.Lock()
+	defer unaware.ioMu.Unlock()
+	sum = f.spend(60_000, third)
+	f.waitFor("record of vm-3", func() bool {
+		knows.budgets.partitions[0].wakeLoop()
+		return knows.budgets.usedBy("team", "vm-3") >= 40_000
+	})
+	stop()
+	return ends, sum
+}
+
+// TestStopForgetsDeadHolder guards against a reservation of a dead process that is lost because the only process that
+// knows it stops before it has put it back.
+func TestStopForgetsDeadHolder(t *testing.T) {
+	f := newFixtureWith(t, answerAll)
+	other, stop := f.startStoppable("vm-2")
+	ends, sum := f.useKnownToOne(other)
+	stop()
+	f.log.restore(ends, nil)
+	f.c.Assert(other.ReturnReservations(context.Background()), qt.IsNil)
+	f.c.Assert(f.ledgerRecord("team/vm-3").Reserved >= sum, qt.IsTrue)
+}
+
 func (f *fixture) ledgerRecord(key string) escrow.Record {
 	batch, err := f.log.Latest(context.Background(), keyed.Partition{Stream: keyed.Ledger})
 	f.c.Assert(err, qt.IsNil)
@@ -299,6 +331,7 @@
 	lp.mu.Lock()
 	lp.lastSettledEra = &era
 	lp.mu.Unlock()
+	lp.follow.era++
 	lp.beginEra(now, true)
 	f.c.Assert(lp.remembers(), qt.IsTrue)
 }
