gateway: what others put back is read while a process waits for them

Cause: a process that had put back what it knew didn't read the ledger until all others had confirmed.

Evidence: TestWaitingProcessIgnoresPutBack failed before: the waiting process hadn't read the record after 5 s.

Fix: while it waits it reads each partition every 0.3 s, in fleets of more than 15 entry VMs every 20 ms times their number, which is 50 reads a second for a partition and all of them.

--- a/gateway/putback.go
+++ b/gateway/putback.go
@@ -21,6 +21,10 @@
 	// fleet; putBackIntervalPerVM times the number of entry VMs is the least one.
 	putBackInterval      = 100 * time.Millisecond
 	putBackIntervalPerVM = 2 * time.Millisecond
+	// putBackReadInterval is the time between two reads of what others put back, in a small fleet; putBackReadIntervalPerVM
+	// times the number of entry VMs is the least one.
+	putBackReadInterval      = 300 * time.Millisecond
+	putBackReadIntervalPerVM = 20 * time.Millisecond
 	// maxPutBackRecords bounds the records of one append, so that it stays far below the store's limit of 2 MB.
 	maxPutBackRecords = 2000
 )
@@ -156,11 +160,13 @@
 	return true
 }
 
-// waitsForOthers reports whether this entry VM has put back what it knows and others haven't yet, so that there is nothing
-// to read.
+// waitsForOthers reports whether this entry VM has put back what it knows, others haven't yet, and it has read lately what
+// they have put back. The records of holders that are gone must not stay the knowledge of one process.
 func (lp *ledgerPartition) waitsForOthers() bool {
+	interval := max(putBackReadInterval, time.Duration(lp.budgets.fleet.count())*putBackReadIntervalPerVM)
 	lp.mu.Lock()
-	waiting := !lp.mayReserve && lp.isRestored() && lp.putBack.Waited(lp.budgets.cfg.Now()) < escrow.PutBackTimeout
+	now := lp.budgets.cfg.Now()
+	waiting := !lp.mayReserve && lp.isRestored() && lp.putBack.Waited(now) < escrow.PutBackTimeout && now.Sub(lp.lastRenewal) < interval
 	era, remembers := keyed.Era(lp.putBack.Era()), lp.remembersEra
 	lp.mu.Unlock()
 	return waiting && !lp.eraChanged.Load() && !lp.budgets.fleet.haveRestored(era, remembers)
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -184,6 +184,20 @@
 	f.c.Assert(f.ledgerRecord("team/vm-3").Reserved >= sum, qt.IsTrue)
 }
 
+// TestWaitingProcessIgnoresPutBack guards against a reservation of a dead process that is lost because a process that
+// waits for others doesn't read what one of them has put back.
+func TestWaitingProcessIgnoresPutBack(t *testing.T) {
+	f := newFixtureWith(t, answerAll)
+	other, stop := f.startStoppable("vm-2")
+	ends, sum := f.useKnownToOne(other)
+	f.log.restore(ends, nil)
+	f.waitFor("record of vm-3", func() bool { return f.ledgerRecord("team/vm-3").Reserved >= sum })
+	f.waitFor("read of the record", func() bool { return f.gateway.budgets.usedBy("team", "vm-3") >= 40_000 })
+	stop()
+	f.log.restore(ends, nil)
+	f.waitFor("record of vm-3 in the next era", func() bool { return f.ledgerRecord("team/vm-3").Reserved >= sum })
+}
+
 func (f *fixture) ledgerRecord(key string) escrow.Record {
 	batch, err := f.log.Latest(context.Background(), keyed.Partition{Stream: keyed.Ledger})
 	f.c.Assert(err, qt.IsNil)
