gateway: a process that hasn't written returns nothing while reservations are put back

Cause: a process that starts in a restored store reads an older record of the process before it. At a planned stop soon after the start it wrote that as its own closing record, with a newer number. What others then knew of the process before, or had put back, was void, and the tokens it had used were free.

Evidence: TestStopVoidsPutBack failed before (the record of the killed process wasn't back after 5 s).

Fix: until tokens may be reserved in the era, an account of which the store has accepted no write of this process isn't closed: it has reserved nothing that could be returned.

--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -260,6 +260,9 @@
 	a.unstated = a.writeAccepted
 }
 
+// HasWritten reports whether the store has accepted a write of this process.
+func (a *Account) HasWritten() bool { return a.writeAccepted }
+
 // Unstated reports whether the store may lack the record of this process, so that Restate must be written.
 func (a *Account) Unstated() bool { return a.unstated }
 
--- a/gateway/renew.go
+++ b/gateway/renew.go
@@ -273,7 +273,9 @@
 	return err
 }
 
-// closingPlans returns the changes that return the unused tokens of all accounts.
+// closingPlans returns the changes that return the unused tokens of all accounts. While reservations are put back, a process
+// that hasn't written returns nothing: the newest record of the process before it may not be back yet, and a newer one would
+// void it.
 func (lp *ledgerPartition) closingPlans() []plan {
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
@@ -283,6 +285,9 @@
 		if _, inherited := a.PendingRecovery(); inherited || a.Reserved() == a.Used() && !a.Unstated() {
 			continue
 		}
+		if !lp.mayReserve && !a.HasWritten() {
+			continue
+		}
 		p := a.Close(lp.budgets.cfg.Now(), lp.budgets.fleet.timeOfDay())
 		a.WriteSent(lp.budgets.cfg.Now(), lp.follow.next, p.Record)
 		plans = append(plans, plan{team: team, Plan: p})
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -198,6 +198,29 @@
 	f.waitFor("record of vm-3 in the next era", func() bool { return f.ledgerRecord("team/vm-3").Reserved >= sum })
 }
 
+// TestStopVoidsPutBack guards against a process that starts in an era in which the newest reservation of the process before
+// it isn't back yet, and at its planned stop writes an older one with a newer number.
+func TestStopVoidsPutBack(t *testing.T) {
+	f := newFixtureWith(t, answerAll)
+	f.log.setEra(5)
+	f.waitFor("era", func() bool { return !f.gateway.budgets.isPuttingBack() && *f.gateway.budgets.restoredEra() == 5 })
+	other := f.start("vm-2")
+	f.waitFor("reserving", func() bool { return !other.budgets.isPuttingBack() })
+	// The process before vm-3 had tokens of others and has stopped, so that no unused ones are left to be recovered.
+	f.log.put(keyed.Ledger, "team/vm-3", escrow.Record{Reserved: 1000, Base: 1000, Used: 3000, Credit: 2000, At: time.Now().UnixMilli(), Era: 5})
+	ends := f.log.ends()
+	_, sum := f.useKnownToOne(other)
+	knows := other.budgets.partitions[0]
+	knows.ioMu.Lock()
+	f.log.restore(ends, nil)
+	next, stop := f.startStoppable("vm-3")
+	stop()
+	err := next.ReturnReservations(context.Background())
+	knows.ioMu.Unlock()
+	f.c.Assert(err, qt.IsNil)
+	f.waitFor("record of vm-3", func() bool { return f.ledgerRecord("team/vm-3").Reserved >= sum })
+}
+
 func (f *fixture) ledgerRecord(key string) escrow.Record {
 	batch, err := f.log.Latest(context.Background(), keyed.Partition{Stream: keyed.Ledger})
 	f.c.Assert(err, qt.IsNil)
