gateway: who hasn't learned of all entry VMs doesn't count as one that knows them

Cause: after a restoration a process reserves again once all entry VMs that it lists have put back what they know, if it could reserve in an earlier era; those that start trust its word. In the first era a process may reserve before it has read the list of entry VMs, or while the list lacks some.

Fix: a process counts as one that knows the others once it has read heartbeats for two of their intervals without an outage. A younger one waits for the word of one that does, or 8 s.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -28,6 +28,8 @@
 	heartbeatIntervalPerVM = 30 * time.Millisecond
 	// minHeartbeatInterval is the least interval when heartbeats are sent early for entry VMs that have just started.
 	minHeartbeatInterval = 200 * time.Millisecond
+	// membershipHeartbeats is the number of heartbeats of each entry VM after which all that live are listed.
+	membershipHeartbeats = 2
 	// memberTimeout is how long an entry VM counts as live after its last heartbeat, in a small fleet.
 	memberTimeout = 8 * time.Second
 	// maxListedAge is how much older than the newest one the last heartbeat of a live entry VM may be in a list. It covers
@@ -128,6 +130,11 @@
 	primaries map[string][]string
 	// loaded is set once the last heartbeats of the others were read; before that no primaries are chosen.
 	loaded bool
+	// listedSince is the time since which heartbeats are read without interruption in an era, until knowsMembers is set:
+	// all live entry VMs were listed in the era membersKnownIn.
+	listedSince    time.Time
+	knowsMembers   bool
+	membersKnownIn keyed.Era
 	// restored holds the eras that the members have confirmed in heartbeats, settled is the latest one in which one of them
 	// may reserve tokens.
 	restored map[string]keyed.Era
@@ -242,6 +249,7 @@
 	f.logDown = down
 	if !down {
 		now := f.cfg.Now()
+		f.listedSince = now
 		for name := range f.members {
 			f.members[name] = now
 		}
@@ -266,10 +274,27 @@
 			f.set(name, h, false)
 		}
 	}
-	f.loaded = true
+	f.loaded, f.listedSince = true, f.cfg.Now()
 	clear(f.primaries)
 }
 
+// noteMembers takes note that a heartbeat was read. Once that has been possible for some heartbeats of each entry VM, all that
+// live are listed. The caller holds mu.
+func (f *fleetController) noteMembers() {
+	if f.knowsMembers || f.cfg.Now().Sub(f.listedSince) < membershipHeartbeats*announceInterval(len(f.members)) {
+		return
+	}
+	f.knowsMembers, f.membersKnownIn = true, f.follow.era
+}
+
+// knewMembersBefore reports whether all live entry VMs were listed in an earlier era. The list that is read in era may lack
+// the newest.
+func (f *fleetController) knewMembersBefore(era keyed.Era) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.knowsMembers && f.membersKnownIn < era
+}
+
 // latestTime returns the time of the newest heartbeat, without those of clocks that are far ahead.
 func latestTime(now time.Time, heartbeats map[string]heartbeat) time.Time {
 	var latest time.Time
@@ -294,6 +319,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.set(r.Key, h, true)
+	f.noteMembers()
 }
 
 func (f *fleetController) decode(r keyed.Record) (heartbeat, bool) {
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -38,8 +38,8 @@
 	// reserved, restoreAnnounced once all was written again in the era.
 	putBack                      escrow.PutBack
 	mayReserve, restoreAnnounced bool
-	// eraRead is set once the first snapshot of the era was applied, remembersEra if tokens could be
-	// reserved in an earlier era.
+	// eraRead is set once the first snapshot of the era was applied, remembersEra if tokens could be reserved in an earlier
+	// era in which all entry VMs were listed.
 	eraRead, remembersEra bool
 	// lastSettledEra is the last era in which tokens could be reserved, nil before the first.
 	lastSettledEra *keyed.Era
--- a/gateway/putback.go
+++ b/gateway/putback.go
@@ -29,12 +29,13 @@
 	maxPutBackRecords = 2000
 )
 
-// beginEra prepares for the first snapshot of an era. A process that has read no earlier era has nothing to put back.
+// beginEra prepares for the first snapshot of an era. A process that has read no earlier era has nothing to put back, and one
+// that hadn't learned of all entry VMs there doesn't know whom to wait for.
 func (lp *ledgerPartition) beginEra(now time.Time, restored bool) {
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
 	era := uint64(lp.follow.era)
-	lp.remembersEra = restored && lp.lastSettledEra != nil
+	lp.remembersEra = restored && lp.lastSettledEra != nil && lp.budgets.fleet.knewMembersBefore(lp.follow.era)
 	lp.putBack.Begin(now, era)
 	lp.mayReserve, lp.restoreAnnounced, lp.eraRead = false, false, false
 	for _, a := range lp.accounts {
