--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -74,10 +75,15 @@
 
 // newRestoredFixture returns gateways of two entry VMs and servers that answer all calls.
 func newRestoredFixture(t *testing.T) (*fixture, *Gateway) {
-	f := newFixtureWith(t, func(cfg *Config) {
-		cfg.Backend = backendFunc(func() (Answer, error) { return &fakeAnswer{status: 200, body: "ok"}, nil })
-	})
-	return f, f.start("vm-2")
+	f := newFixtureWith(t, answerAll)
+	other := f.start("vm-2")
+	f.waitForMembers(f.gateway, other)
+	return f, other
+}
+
+// answerAll makes the servers answer all calls.
+func answerAll(cfg *Config) {
+	cfg.Backend = backendFunc(func() (Answer, error) { return &fakeAnswer{status: 200, body: "ok"}, nil })
 }
 
 // TestRestoredLedgerForgetsReservations guards against tokens that are reserved a second time after the log was restored
@@ -152,6 +158,98 @@
 	f.c.Assert(record.Used, qt.Equals, sum)
 }
 
+// useKnownToOne makes vm-3 spend tokens so that of the others only knows learns of its reservation, and ends it. It returns
+// the ends of the log before that and the number of tokens.
+func (f *fixture) useKnownToOne(knows *Gateway) (ends map[keyed.Partition]int, sum int64) {
+	third, stop := f.startStoppable("vm-3")
+	ends = f.log.ends()
+	unaware := f.gateway.budgets.partitions[0]
+	unaware.ioMu.Lock()
+	defer unaware.ioMu.Unlock()
+	sum = f.spend(60_000, third)
+	f.waitFor("record of vm-3", func() bool {
+		knows.budgets.partitions[0].wakeLoop()
+		return knows.budgets.usedBy("team", "vm-3") >= 40_000
+	})
+	stop()
+	return ends, sum
+}
+
+// TestStopForgetsDeadHolder guards against a reservation of a dead process that is lost because the only process that
+// knows it stops before it has put it back.
+func TestStopForgetsDeadHolder(t *testing.T) {
+	f := newFixtureWith(t, answerAll)
+	other, stop := f.startStoppable("vm-2")
+	f.waitForMembers(f.gateway, other)
+	ends, sum := f.useKnownToOne(other)
+	stop()
+	f.log.restore(ends, nil)
+	f.c.Assert(other.ReturnReservations(context.Background()), qt.IsNil)
+	f.c.Assert(f.ledgerRecord("team/vm-3").Reserved >= sum, qt.IsTrue)
+}
+
+// TestWaitingProcessIgnoresPutBack guards against a reservation of a dead process that is lost because a process that
+// waits for others doesn't read what one of them has put back.
+func TestWaitingProcessIgnoresPutBack(t *testing.T) {
+	f := newFixtureWith(t, answerAll)
+	other, stop := f.startStoppable("vm-2")
+	f.waitForMembers(f.gateway, other)
+	ends, sum := f.useKnownToOne(other)
+	f.log.restore(ends, nil)
+	f.waitFor("record of vm-3", func() bool { return f.ledgerRecord("team/vm-3").Reserved >= sum })
+	f.waitFor("read of the record", func() bool { return f.gateway.budgets.usedBy("team", "vm-3") >= 40_000 })
+	stop()
+	f.log.restore(ends, nil)
+	f.waitFor("record of vm-3 in the next era", func() bool { return f.ledgerRecord("team/vm-3").Reserved >= sum })
+}
+
+// TestStopVoidsPutBack guards against a process that starts in an era in which the newest reservation of the process before
+// it isn't back yet, and at its planned stop writes an older one with a newer number.
+func TestStopVoidsPutBack(t *testing.T) {
+	f := newFixtureWith(t, answerAll)
+	f.waitForMembers(f.gateway)
+	f.log.setEra(5)
+	f.waitFor("era", func() bool { return !f.gateway.budgets.isPuttingBack() && *f.gateway.budgets.restoredEra() == 5 })
+	other := f.start("vm-2")
+	f.waitFor("reserving", func() bool { return !other.budgets.isPuttingBack() })
+	f.waitForMembers(other)
+	// The process before vm-3 had tokens of others and has stopped, so that no unused ones are left to be recovered.
+	f.log.put(keyed.Ledger, "team/vm-3", escrow.Record{Reserved: 1000, Base: 1000, Used: 3000, Credit: 2000, At: time.Now().UnixMilli(), Era: 5})
+	ends := f.log.ends()
+	_, sum := f.useKnownToOne(other)
+	knows := other.budgets.partitions[0]
+	knows.ioMu.Lock()
+	f.log.restore(ends, nil)
+	next, stop := f.startStoppable("vm-3")
+	stop()
+	err := next.ReturnReservations(context.Background())
+	knows.ioMu.Unlock()
+	f.c.Assert(err, qt.IsNil)
+	f.waitFor("record of vm-3", func() bool { return f.ledgerRecord("team/vm-3").Reserved >= sum })
+}
+
+// TestUnlistedMembersAreTrusted guards against a process that reserves tokens because all whom it knows have put back their
+// reservations, although it had just begun to read the list of entry VMs when the log was restored.
+func TestUnlistedMembersAreTrusted(t *testing.T) {
+	f := newFixture(t)
+	ends := f.log.ends()
+	f.log.restore(ends, nil)
+	lp := f.gateway.budgets.partitions[0]
+	f.waitFor("new era", func() bool { return f.gateway.budgets.restoredEra() != nil && *f.gateway.budgets.restoredEra() == 2 })
+	f.c.Assert(lp.remembers(), qt.IsFalse)
+	f.waitForMembers(f.gateway)
+	f.log.restore(ends, nil)
+	f.waitFor("new era", func() bool { return *f.gateway.budgets.restoredEra() == 3 })
+	f.c.Assert(lp.remembers(), qt.IsTrue)
+}
+
+// waitForMembers waits until the gateways know all others.
+func (f *fixture) waitForMembers(gateways ...*Gateway) {
+	for _, g := range gateways {
+		f.waitFor("list of entry VMs", func() bool { return g.fleet.knewMembersBefore(math.MaxUint64) })
+	}
+}
+
 func (f *fixture) ledgerRecord(key string) escrow.Record {
 	batch, err := f.log.Latest(context.Background(), keyed.Partition{Stream: keyed.Ledger})
 	f.c.Assert(err, qt.IsNil)
@@ -286,6 +384,7 @@
 // their reservations, although it started into a restored log and doesn't know everyone.
 func TestUnsettledProcessTrustsItself(t *testing.T) {
 	f := newFixture(t)
+	f.waitForMembers(f.gateway)
 	lp := f.gateway.budgets.partitions[0]
 	lp.ioMu.Lock()
 	defer lp.ioMu.Unlock()
@@ -299,6 +398,7 @@
 	lp.mu.Lock()
 	lp.lastSettledEra = &era
 	lp.mu.Unlock()
+	lp.follow.era++
 	lp.beginEra(now, true)
 	f.c.Assert(lp.remembers(), qt.IsTrue)
 }
