core/retry, entry: a suspect is not sent to a server again while a second crash there would be taken for the first

What callers saw: a request that crashes engines crashed three of them, at most two are promised.

Timeline of a red run (logs of the entry VMs): 1.331 s engine-0 crashes with poison-0 in flight, event 700 by vm0 and vm1; it is up again 0.2 s later. 3.458 s poison-0, a suspect, crashes engine-0 again, event 700, but no event 705. 21.660 s it crashes engine-0 a third time; event 705, 422. In the green runs of the same log, the second crash came 7.3 to 9.8 s after the first.

Two crashes of one server within crashWindow (5 s) are one incident: holds; the comment said that a server doesn't restart within it, this one does.

Fix: Check also returns the servers that crashed with the request within crashWindow, and when that ends. A suspect isn't sent there before; if no other server is left and its deadline allows it, it waits. So its next crash there is always an incident of its own. An engine that needs more than 5 s to restart is used no later than before.

TestSecondCrashOfServerIsMissed states the same on a fake clock, with wrong clocks of peers.

--- a/core/retry/quarantine.go
+++ b/core/retry/quarantine.go
@@ -11,7 +11,7 @@
 
 const (
 	// crashWindow is the time within which reports of a crash of one server mean the same crash: entry VMs notice it at
-	// different times, and a server doesn't restart within it.
+	// different times. A server may restart within it, so no suspect is sent there again before its end.
 	crashWindow = 5 * time.Second
 	// maxCrashes bounds the reports kept per fingerprint. The latest ones are kept: if the earliest were, the result of a
 	// merge would depend on whether a completion was merged before or after the crashes.
@@ -129,6 +129,27 @@
 	Until time.Time
 	// Avoid are the servers that crashed with the request in flight. They are used only if there are no others.
 	Avoid []string
+	// Barred are those of Avoid that crashed within crashWindow. They are not used at all: another crash there would be
+	// taken for the same one. BarredUntil is when to check again; zero if there are none.
+	Barred      []string
+	BarredUntil time.Time
+}
+
+// avoid adds the server of a crash with the request in flight.
+func (r *CheckResult) avoid(now time.Time, c Crash) {
+	if !slices.Contains(r.Avoid, c.Server) {
+		r.Avoid = append(r.Avoid, c.Server)
+	}
+	until := c.At.Add(crashWindow)
+	if !now.Before(until) || !now.After(c.At.Add(-crashWindow)) {
+		return
+	}
+	if !slices.Contains(r.Barred, c.Server) {
+		r.Barred = append(r.Barred, c.Server)
+	}
+	if r.BarredUntil.IsZero() || until.Before(r.BarredUntil) {
+		r.BarredUntil = until
+	}
 }
 
 // QuarantineConfig configures a Quarantine.
@@ -267,9 +288,7 @@
 	}
 	result := CheckResult{State: e.state, Until: e.ExpiresAt}
 	for _, c := range e.Crashes {
-		if !slices.Contains(result.Avoid, c.Server) {
-			result.Avoid = append(result.Avoid, c.Server)
-		}
+		result.avoid(now, c)
 	}
 	return result
 }
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -207,3 +207,29 @@
 		}
 	}
 }
+
+// TestSecondCrashOfServerIsMissed guards against a request that crashes a server that restarts fast more than twice: the
+// second crash must not be so soon after the first that both are taken for one.
+func TestSecondCrashOfServerIsMissed(t *testing.T) {
+	for _, clockError := range []time.Duration{-4 * time.Second, 0, 4 * time.Second, 20 * time.Second} {
+		c := qt.New(t)
+		q := retry.NewQuarantine(retry.QuarantineConfig{})
+		now := epoch
+		crash := []retry.InFlight{{Fingerprint: "poison", Started: now}}
+		// An entry VM with another clock has noticed the crash.
+		q.Crashed(now.Add(clockError), "s1", crash)
+		for {
+			check := q.Check(now, "poison")
+			c.Assert(check.State, qt.Equals, retry.Suspect)
+			if len(check.Barred) == 0 {
+				break
+			}
+			c.Assert(check.Barred, qt.DeepEquals, []string{"s1"})
+			c.Assert(check.BarredUntil.After(now), qt.IsTrue)
+			now = check.BarredUntil
+		}
+		c.Assert(now.Sub(epoch) < 10*time.Second, qt.IsTrue, qt.Commentf("%s", now.Sub(epoch)))
+		q.Crashed(now, "s1", crash)
+		c.Assert(q.Check(now, "poison").State, qt.Equals, retry.Quarantined, qt.Commentf("clock error %s", clockError))
+	}
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -95,13 +95,29 @@
 	return errors.As(err, &refused) && (refused.Reason == refusal.NoServer || refused.Reason == refusal.NoCapacity)
 }
 
-// place chooses a server. A request suspected of a crash goes to a server with few other requests. The quarantine is
-// checked before each attempt, since another crash may have made the request a suspect or quarantined it.
+// place chooses a server. A request suspected of a crash goes to a server with few other requests. If wait is set it waits
+// for servers that crashed with the request a moment ago, unless there are others.
 func (r *completion) place(ctx context.Context, version string, request engine.Request, wait bool) (placement, error) {
-	check := r.vm.quarantine.check(r.vm.cfg.Now(), r.fingerprint)
-	if check.State == retry.Quarantined {
-		return placement{}, quarantineRefusal(check)
+	for {
+		// The quarantine is checked before each attempt, since another crash may have made the request a suspect or
+		// quarantined it.
+		check := r.vm.quarantine.check(r.vm.cfg.Now(), r.fingerprint)
+		if check.State == retry.Quarantined {
+			return placement{}, quarantineRefusal(check)
+		}
+		placed, err := r.placeChecked(ctx, version, request, wait, check)
+		if err == nil || !wait || len(check.Barred) == 0 || refusal.From(err).Reason != refusal.NoServer || check.BarredUntil.After(r.deadline) {
+			return placed, err
+		}
+		sleep(ctx, check.BarredUntil.Sub(r.vm.cfg.Now()))
+		if ctx.Err() != nil {
+			return placement{}, ctx.Err()
+		}
 	}
+}
+
+// placeChecked chooses a server for a request that isn't quarantined.
+func (r *completion) placeChecked(ctx context.Context, version string, request engine.Request, wait bool, check retry.CheckResult) (placement, error) {
 	blocks := request.BlockIDs()
 	prefixes := make([]uint64, len(blocks))
 	for i, b := range blocks {
@@ -113,9 +129,9 @@
 		Exclude: append(check.Avoid, r.excluded...),
 	}
 	placed, err := r.vm.servers.place(ctx, choice, wait)
-	if err != nil && len(choice.Exclude) > 0 && refusal.From(err).Reason == refusal.NoServer {
+	if err != nil && len(choice.Exclude) > len(check.Barred) && refusal.From(err).Reason == refusal.NoServer {
 		// A server where an attempt of this request failed is better than none.
-		choice.Exclude = nil
+		choice.Exclude = check.Barred
 		placed, err = r.vm.servers.place(ctx, choice, wait)
 	}
 	if err != nil {
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -54,6 +54,9 @@
 	limits     string
 	maxHeld    int64
 	tokenDelay time.Duration
+	// crashMarker is a text in a prompt that crashes the engine, which restarts after restartAfter.
+	crashMarker  string
+	restartAfter time.Duration
 }
 
 func listen(tb testing.TB) net.Listener {
@@ -80,6 +83,7 @@
 	n.platform = log
 	n.engine = engine.New(engine.Config{
 		Versions: []engine.ModelVersion{{Model: "small", Version: "v1"}}, TokenDelay: cfg.tokenDelay,
+		CrashMarker: cfg.crashMarker, RestartAfter: cfg.restartAfter,
 	})
 	engineListener := listen(tb)
 	n.engineAddr = engineListener.Addr().String()
