platform: every wait of a planned stop ends at a time that is set at SIGTERM

A process that is killed cuts what it still writes, and its tokens stay reserved.

Cause: the deadline of the stop covered its calls to the store, but not what they wait for. The return of tokens waits for the lock of the ledger, which a renewal holds for as long as the store is silent (0.9 s, more with conflicts): 8.2 s of a grace period of 8 s. A blocked standard output added 1 s at the end, and the message about it went to standard error, which may be blocked for good.

Evidence: TestProcessOutlivesGracePeriod runs the process beside a silent store, a blocked output and a pause; on the code before, "output blocked" and "output blocked and silent store" and "paused" failed in each of 4 runs, "silent store" in 1 of 3.

Fix: drainTimes holds the times of all steps, up to the exit. Renewals end when the tokens are returned; the partitions are returned at once instead of one after the other; the hand-over, the loops and the log share the same end. A renewal that is ended counts as one without an answer, as before.

--- a/cmd/ibiswinch/drain.go
+++ b/cmd/ibiswinch/drain.go
@@ -19,8 +19,9 @@
 	closeIdleDelay = 3500 * time.Millisecond
 	// drainPollInterval is how often a stopping process checks whether its connections are closed.
 	drainPollInterval = 20 * time.Millisecond
-	// 1/exitReserveDivisor of the grace period, maxExitReserve at most, is reserved to exit: a quarter to answer the calls
-	// that are still open, half to return unused tokens, and the rest to end.
+	// 1/exitReserveDivisor of the grace period, maxExitReserve at most, is reserved to exit. In eighths of it: two to answer the
+	// calls that are still open, two to return unused tokens to the ledger, one to hand them to another entry VM instead,
+	// one to write the last log lines, and two for the exit itself.
 	exitReserveDivisor = 6
 	maxExitReserve     = 900 * time.Millisecond
 )
@@ -28,8 +29,9 @@
 // drainTimes are the times of a planned stop.
 type drainTimes struct {
 	// lastCallAt is when new calls are refused, closeIdleAt when idle connections are closed. At giveUpAt the calls that are
-	// still open are ended, which must be done by answeredAt. At returnedAt the unused tokens must be returned.
-	lastCallAt, closeIdleAt, giveUpAt, answeredAt, returnedAt time.Time
+	// still open are ended, which must be done by answeredAt. The unused tokens must be returned to the ledger by returnedAt, or
+	// to another entry VM by handedOverAt. At exitAt the process exits, whatever still runs.
+	lastCallAt, closeIdleAt, giveUpAt, answeredAt, returnedAt, handedOverAt, exitAt time.Time
 }
 
 func newDrainTimes(start time.Time, gracePeriod time.Duration) drainTimes {
@@ -37,23 +39,20 @@
 	giveUpAt := start.Add(gracePeriod - reserve)
 	return drainTimes{
 		lastCallAt: start.Add(min(drainDelay, gracePeriod-reserve)), closeIdleAt: start.Add(closeIdleDelay), giveUpAt: giveUpAt,
-		answeredAt: giveUpAt.Add(reserve / 4), returnedAt: giveUpAt.Add(reserve * 3 / 4),
+		answeredAt: giveUpAt.Add(reserve * 2 / 8), returnedAt: giveUpAt.Add(reserve * 4 / 8), handedOverAt: giveUpAt.Add(reserve * 5 / 8),
+		exitAt: giveUpAt.Add(reserve * 6 / 8),
 	}
 }
 
 // drain keeps serving until the callers have closed their connections or the grace period nears its end, answers what is
 // still open, and returns the unused reservations. Afterwards the process must exit.
-func (p *platformProcess) drain(callerServer *http.Server) {
-	start := time.Now()
-	p.mu.Lock()
-	times := newDrainTimes(start, p.settings.GracePeriod)
-	p.mu.Unlock()
+func (p *platformProcess) drain(callerServer *http.Server, times drainTimes) {
 	p.gateway.Drain(times.lastCallAt)
 	p.awaitClosedConnections(callerServer, times)
 	p.endOpenCalls(callerServer, times.answeredAt)
-	ctx, cancel := context.WithDeadline(context.Background(), times.returnedAt)
+	ctx, cancel := context.WithDeadline(context.Background(), times.handedOverAt)
 	defer cancel()
-	if err := p.gateway.ReturnReservations(ctx); err != nil {
+	if err := p.gateway.ReturnReservations(ctx, times.returnedAt); err != nil {
 		p.events.Event(event.ReservationFailed, apexlog.Fields{"error": err.Error()})
 	}
 }
--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -156,11 +156,36 @@
 		}
 		p.reload()
 	}
-	p.drain(callerServer)
-	stop()
-	wg.Wait()
+	times := newDrainTimes(time.Now(), p.gracePeriod())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.drain(callerServer, times)
+		stop()
+		wg.Wait()
+	}()
+	awaitUntil(times.exitAt, ended)
 	p.events.Event(event.ProcessStopped, apexlog.Fields{"open": p.openConnections.Load()})
-	return p.logOutput.Close(time.Second)
+	// If the output is blocked, an error could not be reported either.
+	_ = p.logOutput.Close(times.exitAt)
+	return nil
+}
+
+// awaitUntil waits for done to be closed, until the given time at most.
+func awaitUntil(until time.Time, done <-chan struct{}) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+// gracePeriod is the grace period of the last valid settings.
+func (p *platformProcess) gracePeriod() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.settings.GracePeriod
 }
 
 // startServers opens the listeners and serves them. It returns the server of the callers.
--- a/cmd/ibiswinch/platform_test.go
+++ b/cmd/ibiswinch/platform_test.go
@@ -27,6 +27,10 @@
 	process *platformProcess
 	callers *http.Server
 	front   string
+	// readiness is the address of the readiness endpoint, peer that of the calls of other entry VMs.
+	readiness, peer string
+	// settingsPath is the settings file of the entry VM.
+	settingsPath string
 	// hang is closed to let the backend server answer; began gets the id of each request that reaches it.
 	hang  chan struct{}
 	began chan string
@@ -34,18 +38,25 @@
 
 const testGracePeriod = 4 * time.Second
 
+// startPlatform starts the entry VM in the process of the test.
 func startPlatform(t *testing.T, ip string) *platformFixture {
+	f := newPlatformFixture(t, ip)
+	f.start(f.settingsPath)
+	return f
+}
+
+// newPlatformFixture starts everything but the entry VM.
+func newPlatformFixture(t *testing.T, ip string) *platformFixture {
 	c := qt.New(t)
-	f := &platformFixture{c: c, store: keyedlog.New(), front: ip + ":8740", hang: make(chan struct{}), began: make(chan string, 100)}
+	f := &platformFixture{c: c, store: keyedlog.New(), front: ip + ":8740", readiness: ip + ":8749", peer: ip + ":7200", hang: make(chan struct{}), began: make(chan string, 100)}
 	store := httptest.NewServer(f.store)
 	c.Cleanup(store.Close)
 	backend := httptest.NewServer(http.HandlerFunc(f.serveBackend))
 	c.Cleanup(backend.Close)
 	c.Cleanup(func() { close(f.hang) })
 	f.publish(backend.Listener.Addr().String())
-	path := filepath.Join(t.TempDir(), "settings.toml")
-	c.Assert(os.WriteFile(path, []byte(platformSettings(ip, store.Listener.Addr().String())), 0o600), qt.IsNil)
-	f.start(path)
+	f.settingsPath = filepath.Join(t.TempDir(), "settings.toml")
+	c.Assert(os.WriteFile(f.settingsPath, []byte(platformSettings(ip, store.Listener.Addr().String())), 0o600), qt.IsNil)
 	return f
 }
 
@@ -80,6 +91,7 @@
 			"name": "order", "host": "a.example", "path_prefix": "/order/", "kind": "unsafe", "timeout_ms": 20000,
 			"target_latency_ms": 500, "service": "s", "attempts": 1,
 		}},
+		"tenants":  []map[string]any{{"name": "team-1", "api_keys": []string{"key-1"}, "prepaid": 1_000_000}},
 		"services": []map[string]any{{"name": "s", "health_path": "/health", "connection_limit": 100}},
 	})
 	f.c.Assert(err, qt.IsNil)
@@ -132,7 +144,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
-	if _, err = fmt.Fprintf(conn, "POST /order/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\nDeadline-Milliseconds: 20000\r\nContent-Length: 2\r\n\r\nok", id); err != nil {
+	if _, err = fmt.Fprintf(conn, "POST /order/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\nAuthorization: Bearer key-1\r\nToken-Counts: 100,100\r\nDeadline-Milliseconds: 20000\r\nContent-Length: 2\r\n\r\nok", id); err != nil {
 		return "", err
 	}
 	line, err := bufio.NewReader(conn).ReadString('\n')
@@ -150,7 +162,7 @@
 	}()
 	<-f.began
 	start := time.Now()
-	f.process.drain(f.callers)
+	f.process.drain(f.callers, newDrainTimes(time.Now(), testGracePeriod))
 	f.c.Check(time.Since(start) < testGracePeriod, qt.IsTrue)
 	select {
 	case line := <-answer:
@@ -163,7 +175,7 @@
 // TestStoppedProcessTakesConnections guards against requests that are read just before the process exits.
 func TestStoppedProcessTakesConnections(t *testing.T) {
 	f := startPlatform(t, "127.201.0.2")
-	f.process.drain(f.callers)
+	f.process.drain(f.callers, newDrainTimes(time.Now(), testGracePeriod))
 	_, err := net.DialTimeout("tcp4", f.front, time.Second)
 	f.c.Assert(err, qt.ErrorMatches, ".*connection refused")
 }
--- /dev/null
+++ b/cmd/ibiswinch/stop_test.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"ibiswinch/io/peer"
+	"ibiswinch/standin/keyedlog"
+)
+
+// TestProcessOutlivesGracePeriod guards against a stopping process that waits for something longer than its grace period
+// and is killed.
+func TestProcessOutlivesGracePeriod(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "ibiswinch")
+	out, err := exec.Command("go", "build", "-o", binary, "ibiswinch/cmd/ibiswinch").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	for i, test := range []struct {
+		name          string
+		storeFault    keyedlog.Fault
+		outputBlocked bool
+		// drawn is set if another entry VM draws tokens all the time, which renews the reservation.
+		drawn  bool
+		paused time.Duration
+	}{
+		{name: "silent store", storeFault: keyedlog.NoAnswer, drawn: true},
+		{name: "slow store", storeFault: keyedlog.Silent, drawn: true},
+		{name: "output blocked", outputBlocked: true},
+		{name: "output blocked and silent store", outputBlocked: true, storeFault: keyedlog.NoAnswer, drawn: true},
+		{name: "paused for a time with a silent store", storeFault: keyedlog.NoAnswer, paused: 3200 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newPlatformFixture(t, fmt.Sprintf("127.201.1.%d", i+1))
+			p := f.startProcess(binary, test.outputBlocked)
+			f.openRequest()
+			f.store.SetTimings(keyedlog.Timings{Silence: 800 * time.Millisecond})
+			f.store.SetFault(func(string, string) keyedlog.Fault { return test.storeFault })
+			if test.drawn {
+				go f.drawTokens(p.exited)
+			}
+			killed := time.NewTimer(testGracePeriod)
+			f.c.Assert(p.cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+			p.pause(test.paused)
+			select {
+			case <-p.exited:
+			case <-killed.C:
+				f.c.Fatal("the process would be killed now")
+			}
+		})
+	}
+}
+
+// stoppedProcess is an entry VM that runs as a process of its own.
+type stoppedProcess struct {
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+// startProcess starts the entry VM and waits until it is ready. Nothing is read from a blocked output.
+func (f *platformFixture) startProcess(binary string, outputBlocked bool) *stoppedProcess {
+	p := &stoppedProcess{cmd: exec.Command(binary, "platform", "--settings", f.settingsPath), exited: make(chan struct{})}
+	if outputBlocked {
+		output := f.fullPipe()
+		p.cmd.Stdout, p.cmd.Stderr = output, output
+	}
+	f.c.Assert(p.cmd.Start(), qt.IsNil)
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.exited)
+	}()
+	f.c.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		<-p.exited
+	})
+	for deadline := time.Now().Add(20 * time.Second); !f.ready(); time.Sleep(20 * time.Millisecond) {
+		f.c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("not ready in 20 s"))
+	}
+	return p
+}
+
+// openRequest sends requests until one has reached the backend server, which doesn't answer it.
+func (f *platformFixture) openRequest() {
+	for i := range 100 {
+		go func() { _, _ = f.send(fmt.Sprintf("order-%d", i)) }()
+		select {
+		case <-f.began:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+	f.c.Fatal("no request reached the backend server")
+}
+
+// fullPipe returns the end of a pipe on which each write blocks.
+func (f *platformFixture) fullPipe() *os.File {
+	r, w, err := os.Pipe()
+	f.c.Assert(err, qt.IsNil)
+	f.c.Cleanup(func() {
+		_ = w.Close()
+		_ = r.Close()
+	})
+	f.c.Assert(w.SetWriteDeadline(time.Now().Add(100*time.Millisecond)), qt.IsNil)
+	for err == nil {
+		_, err = w.Write(make([]byte, 4096))
+	}
+	f.c.Assert(err, qt.ErrorIs, os.ErrDeadlineExceeded)
+	return w
+}
+
+// ready queries the readiness endpoint of the process.
+func (f *platformFixture) ready() bool {
+	client := http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + f.readiness + "/v1/readiness")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// pause suspends the process for a time.
+func (p *stoppedProcess) pause(span time.Duration) {
+	if span == 0 {
+		return
+	}
+	// The process sees the signal first.
+	time.Sleep(100 * time.Millisecond)
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(span)
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+}
+
+// drawTokens draws more tokens from the entry VM than it has, until done is closed.
+func (f *platformFixture) drawTokens(done <-chan struct{}) {
+	client := peer.NewPoolClient(&net.Dialer{})
+	for {
+		_, _ = client.Draw(context.Background(), netip.MustParseAddrPort(f.peer), "team-1", 1_000_000, 1_000_000)
+		select {
+		case <-done:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -60,10 +60,14 @@
 	catalogs   *catalogController
 	fleet      *fleetController
 	partitions []*ledgerPartition
+	// closing ends when the reservations are returned, by endRenewals. Renewals end with it.
+	closing     context.Context
+	endRenewals context.CancelFunc
 }
 
 func newBudgetController(cfg Config, catalogs *catalogController, fleet *fleetController) *budgetController {
 	b := &budgetController{cfg: cfg, catalogs: catalogs, fleet: fleet}
+	b.closing, b.endRenewals = context.WithCancel(context.Background())
 	for i := range max(cfg.LedgerPartitions, 1) {
 		lp := &ledgerPartition{
 			budgets: b, wake: make(chan struct{}, 1), teamRecords: map[string]*escrow.Reservations{}, accounts: map[string]*escrow.Account{},
@@ -81,6 +85,16 @@
 }
 
 func (b *budgetController) loop(ctx context.Context) error {
+	b.runRenewals(ctx)
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// runRenewals renews the reservations until ctx ends or they are returned.
+func (b *budgetController) runRenewals(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(b.closing, cancel)()
 	var wg sync.WaitGroup
 	for _, lp := range b.partitions {
 		wg.Go(func() { lp.loop(ctx) })
@@ -89,7 +103,6 @@
 		wg.Go(func() { b.runReturnUnused(ctx) })
 	}
 	wg.Wait()
-	return ctx.Err()
 }
 
 func (b *budgetController) wakeAll() {
@@ -237,15 +250,25 @@
 	}
 }
 
-// returnReservations returns all unused tokens to the ledger at a planned stop, or to another entry VM if that fails.
-func (b *budgetController) returnReservations(ctx context.Context) error {
-	var errs []error
-	for _, lp := range b.partitions {
-		errs = append(errs, lp.returnReservations(ctx))
-	}
-	err := errors.Join(errs...)
+// returnReservations returns all unused tokens to the ledger at a planned stop, until ledgerUntil at most. If that fails
+// they go to another entry VM. A renewal in progress is ended: the store may be silent for longer than there is time.
+func (b *budgetController) returnReservations(ctx context.Context, ledgerUntil time.Time) error {
+	b.endRenewals()
+	err := b.returnToLedger(ctx, ledgerUntil)
 	if err != nil {
-		b.handOverAll(context.WithoutCancel(ctx))
+		b.handOverAll(ctx)
 	}
 	return err
 }
+
+func (b *budgetController) returnToLedger(ctx context.Context, until time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	errs := make([]error, len(b.partitions))
+	var wg sync.WaitGroup
+	for i, lp := range b.partitions {
+		wg.Go(func() { errs[i] = lp.returnReservations(ctx) })
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
--- a/gateway/budgets_test.go
+++ b/gateway/budgets_test.go
@@ -74,7 +74,7 @@
 	f.post("/order/1")
 	f.gateway.Drain(time.Now().Add(time.Hour))
 	f.c.Assert(f.gateway.Ready(), qt.IsFalse)
-	f.c.Assert(f.gateway.ReturnReservations(context.Background()), qt.IsNil)
+	f.c.Assert(f.gateway.ReturnReservations(context.Background(), time.Now().Add(time.Second)), qt.IsNil)
 	d := f.gateway.Dump().Budgets[0]
 	f.c.Assert(d.Reserved, qt.Equals, d.Used)
 }
--- a/gateway/draw_test.go
+++ b/gateway/draw_test.go
@@ -149,9 +149,9 @@
 	p := newPeerFixture(t)
 	p.log.setDown(true)
 	p.primary.Drain(time.Now())
-	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	p.c.Assert(p.primary.ReturnReservations(ctx), qt.IsNotNil)
+	p.c.Assert(p.primary.ReturnReservations(ctx, time.Now().Add(100*time.Millisecond)), qt.IsNotNil)
 	p.c.Assert(p.secondary.FreeTokens() > 0, qt.IsTrue)
 	p.c.Assert(p.primary.FreeTokens(), qt.Equals, int64(0))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -271,9 +271,10 @@
 // are incomplete.
 func (g *Gateway) GiveUp() { g.giveUp() }
 
-// ReturnReservations returns the unused tokens of all reservations.
-func (g *Gateway) ReturnReservations(ctx context.Context) error {
-	return g.budgets.returnReservations(ctx)
+// ReturnReservations returns the unused tokens of all reservations to the ledger, until ledgerUntil at most, or else to another
+// entry VM, until ctx ends.
+func (g *Gateway) ReturnReservations(ctx context.Context, ledgerUntil time.Time) error {
+	return g.budgets.returnReservations(ctx, ledgerUntil)
 }
 
 // GiveTokens transfers tokens of a team to another entry VM and returns how many. It is called for a draw of that VM.
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -146,7 +146,7 @@
 	sum := f.spend(60_000, third)
 	stop()
 	f.log.restore(ends, nil)
-	f.c.Assert(third.ReturnReservations(context.Background()), qt.IsNil)
+	f.c.Assert(third.ReturnReservations(context.Background(), time.Now().Add(time.Second)), qt.IsNil)
 	record := f.ledgerRecord("team/vm-3")
 	f.c.Assert(record.Reserved, qt.Equals, sum)
 	f.c.Assert(record.Used, qt.Equals, sum)
--- a/io/apexlog/ratelimited.go
+++ b/io/apexlog/ratelimited.go
@@ -101,18 +101,20 @@
 	}
 }
 
-// Close writes the queued lines, for at most timeout, and ends the goroutine.
-func (w *RateLimitedWriter) Close(timeout time.Duration) error {
+// Close writes the queued lines, until the given time at most, and ends the goroutine.
+func (w *RateLimitedWriter) Close(until time.Time) error {
 	w.mu.Lock()
 	if !w.closed {
 		w.closed = true
 		close(w.lines)
 	}
 	w.mu.Unlock()
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
 	select {
 	case <-w.done:
 		return nil
-	case <-time.After(timeout):
+	case <-timer.C:
 		return fmt.Errorf("%d queued log lines not written at the close of the log", len(w.lines))
 	}
 }
--- a/io/apexlog/ratelimited_test.go
+++ b/io/apexlog/ratelimited_test.go
@@ -39,7 +39,7 @@
 	c.Assert(b.Dropped() >= 489, qt.IsTrue)
 	c.Assert(b.NearLimit(), qt.IsTrue)
 	close(out.release)
-	c.Assert(b.Close(time.Second), qt.IsNil)
+	c.Assert(b.Close(time.Now().Add(time.Second)), qt.IsNil)
 }
 
 // TestVolumeIsBounded guards against a burst of lines that exceeds the rate limit.
@@ -63,7 +63,7 @@
 	for range 100 {
 		_, _ = b.Write([]byte("line\n"))
 	}
-	c.Assert(b.Close(time.Second), qt.IsNil)
+	c.Assert(b.Close(time.Now().Add(time.Second)), qt.IsNil)
 	c.Assert(bytes.Count(out.Bytes(), []byte("\n")), qt.Equals, 40)
 	c.Assert(b.Dropped(), qt.Equals, int64(160))
 }
