platform: SIGHUPs can't hide a SIGTERM

What callers saw: nothing yet; found by reading. A process that didn't see SIGTERM would serve on and be killed with all its open requests.

Cause: SIGHUP and SIGTERM shared a channel of four signals, and the goroutine that reads it also read the settings at each SIGHUP. Signals that find the channel full are lost.

Evidence: the case "SIGHUP in series" of TestProcessOutlivesGracePeriod (50 SIGHUPs at 1 ms, a settings file that takes longer to read, then SIGTERM) failed on; it passes now.

Fix: a channel for each kind of signal; the settings are read by the goroutine that watches their file.

--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -142,20 +142,17 @@
 			p.events.Event(event.HandlerPanicked, apexlog.Fields{"error": err.Error()})
 		}
 	})
-	wg.Go(func() { p.watch(ctx) })
-	// A signal that comes once calls are accepted must not end the process at once.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	// A signal that comes once calls are accepted must not end the process at once. Each kind has a channel of its own: a full
+	// one loses signals.
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reloads, syscall.SIGHUP)
+	wg.Go(func() { p.watch(ctx, reloads) })
 	callerServer, err := p.startServers()
 	if err != nil {
 		return err
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
-		}
-		p.reload()
-	}
+	<-stops
 	times := newDrainTimes(time.Now(), p.gracePeriod())
 	ended := make(chan struct{})
 	go func() {
@@ -245,8 +242,9 @@
 	}
 }
 
-// watch reloads changed settings and logs the number of dropped log lines, every watchInterval.
-func (p *platformProcess) watch(ctx context.Context) {
+// watch reloads the settings at each signal, and every watchInterval if the file has changed. It logs the number of dropped log
+// lines.
+func (p *platformProcess) watch(ctx context.Context, reloads <-chan os.Signal) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	last, _ := os.ReadFile(p.settingsPath)
@@ -255,6 +253,9 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-reloads:
+			p.reload()
+			continue
 		case <-ticker.C:
 		}
 		if current, err := os.ReadFile(p.settingsPath); err == nil && !bytes.Equal(current, last) {
--- a/cmd/ibiswinch/stop_test.go
+++ b/cmd/ibiswinch/stop_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -19,6 +20,14 @@
 	"ibiswinch/standin/keyedlog"
 )
 
+const (
+	// hangupCount is the number of SIGHUPs that are sent before a SIGTERM, hangupInterval the time between two.
+	hangupCount    = 50
+	hangupInterval = time.Millisecond
+	// longSettings is the size of a settings file that takes longer than hangupInterval to read.
+	longSettings = 8 << 20
+)
+
 // TestProcessOutlivesGracePeriod guards against a stopping process that waits for something longer than its grace period
 // and is killed.
 func TestProcessOutlivesGracePeriod(t *testing.T) {
@@ -30,13 +39,15 @@
 		storeFault    keyedlog.Fault
 		outputBlocked bool
 		// drawn is set if another entry VM draws tokens all the time, which renews the reservation.
-		drawn  bool
-		paused time.Duration
+		drawn   bool
+		hangups int
+		paused  time.Duration
 	}{
 		{name: "silent store", storeFault: keyedlog.NoAnswer, drawn: true},
 		{name: "slow store", storeFault: keyedlog.Silent, drawn: true},
 		{name: "output blocked", outputBlocked: true},
 		{name: "output blocked and silent store", outputBlocked: true, storeFault: keyedlog.NoAnswer, drawn: true},
+		{name: "SIGHUP in series", hangups: hangupCount},
 		{name: "paused for a time with a silent store", storeFault: keyedlog.NoAnswer, paused: 3200 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -49,6 +60,9 @@
 			if test.drawn {
 				go f.drawTokens(p.exited)
 			}
+			if test.hangups > 0 {
+				f.hangUp(p, test.hangups)
+			}
 			killed := time.NewTimer(testGracePeriod)
 			f.c.Assert(p.cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
 			p.pause(test.paused)
@@ -102,6 +116,18 @@
 	f.c.Fatal("no request reached the backend server")
 }
 
+// hangUp has the process read its settings n times, which takes longer than the time between the signals.
+func (f *platformFixture) hangUp(p *stoppedProcess, n int) {
+	settings, err := os.ReadFile(f.settingsPath)
+	f.c.Assert(err, qt.IsNil)
+	comments := bytes.Repeat([]byte("# comment\n"), longSettings/10)
+	f.c.Assert(os.WriteFile(f.settingsPath, append(settings, comments...), 0o600), qt.IsNil)
+	for range n {
+		f.c.Assert(p.cmd.Process.Signal(syscall.SIGHUP), qt.IsNil)
+		time.Sleep(hangupInterval)
+	}
+}
+
 // fullPipe returns the end of a pipe on which each write blocks.
 func (f *platformFixture) fullPipe() *os.File {
 	r, w, err := os.Pipe()
