--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// poolDialTimeout limits the time to connect to an entry VM, which may be unreachable in a network partition.
+	// poolDialTimeout limits the time to connect to an entry VM, which may be unreachable in a network partition. It is short
+	// because others can be asked.
 	poolDialTimeout = 60 * time.Millisecond
 	// poolMaxIdleConnsPerPeer is the number of idle connections kept to one entry VM.
 	poolMaxIdleConnsPerPeer = 2
