--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -184,7 +184,7 @@
 	ends, sum := f.useKnownToOne(other)
 	stop()
 	f.log.restore(ends, nil)
-	f.c.Assert(other.ReturnReservations(context.Background()), qt.IsNil)
+	f.c.Assert(other.ReturnReservations(context.Background(), time.Now().Add(time.Second)), qt.IsNil)
 	f.c.Assert(f.ledgerRecord("team/vm-3").Reserved >= sum, qt.IsTrue)
 }
 
@@ -222,7 +222,7 @@
 	f.log.restore(ends, nil)
 	next, stop := f.startStoppable("vm-3")
 	stop()
-	err := next.ReturnReservations(context.Background())
+	err := next.ReturnReservations(context.Background(), time.Now().Add(time.Second))
 	knows.ioMu.Unlock()
 	f.c.Assert(err, qt.IsNil)
 	f.waitFor("record of vm-3", func() bool { return f.ledgerRecord("team/vm-3").Reserved >= sum })
