gateway: a call isn't sent to a server once its caller has closed the connection

What callers saw: servers worked for nobody.

Cause: an overloaded entry VM reads requests late, and the end of a connection behind a request later still: net/http looks for it in a goroutine that starts with the handler, and whose run the handler doesn't wait for. A request whose caller left before it was read went to a server.

TestRetryForGoneCaller made two attempts without it.

Fix: before each attempt, a read of the caller's socket that takes nothing and doesn't wait shows whether its end has arrived.

--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -189,6 +189,7 @@
 func (p *platformProcess) startServers() (*http.Server, error) {
 	callerServer := &http.Server{
 		Handler:           &platform.CallerHandler{Gateway: p.gateway, Now: time.Now, ShouldCloseConnection: p.gateway.ShouldCloseConnection},
+		ConnContext:       platform.ConnContext,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
 		ConnState: func(_ net.Conn, s http.ConnState) {
 			switch s {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -92,6 +92,11 @@
 			next = &p
 		}
 		p := *next
+		if x.reply.CallerGone() {
+			x.releaseUnused(next)
+			x.abandon()
+			return
+		}
 		x.lastPlacement = p
 		x.attempts++
 		x.attemptStarted, x.attemptEvents = x.g.cfg.Now(), 0
@@ -355,9 +360,7 @@
 		return
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
-		// The caller may have closed only its direction, and would take the end of the handler for an empty answer.
-		x.outcome = "callerGone"
-		x.reply.Abort()
+		x.abandon()
 		return
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -371,6 +374,13 @@
 	x.fail(refusal.New(refusal.ServerFailed, "the server failed: %v", result.err))
 }
 
+// abandon ends a call whose caller has left. It may have closed only its direction, and would take the end of the handler for
+// an empty answer.
+func (x *exchange) abandon() {
+	x.outcome = "callerGone"
+	x.reply.Abort()
+}
+
 // fail ends the call with a refusal, or breaks off a stream that has started.
 func (x *exchange) fail(e *refusal.Error) {
 	x.outcome = string(e.Reason)
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -147,3 +149,15 @@
 		f.c.Check(r.refused.Execution, qt.Equals, refusal.Unknown)
 	}
 }
+
+// TestRetryForGoneCaller guards against sending a call to a second server after its caller has left.
+func TestRetryForGoneCaller(t *testing.T) {
+	f := newFixture(t, interrupted, answered("ok"))
+	r := &recorder{gone: func() bool { return len(f.backend.attempts) > 0 }}
+	f.gateway.Serve(context.Background(), &call.Call{
+		ID: "r-1", Method: "POST", Host: testHost, Path: "/read/1", Target: "/read/1", APIKey: "key", Arrived: time.Now(), InputTokens: 100,
+	}, r)
+	f.c.Assert(f.backend.attempts, qt.HasLen, 1)
+	f.c.Assert(r.aborted, qt.IsTrue)
+	f.c.Assert(f.gateway.Dump().Budgets[0].Held, qt.Equals, int64(0))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,6 +123,8 @@
 // Reply writes the answer to the caller: a refusal, a whole answer, or a stream. Each call ends with one of Refuse, WriteAnswer,
 // Finish and Abort, or with an error of a write.
 type Reply interface {
+	// CallerGone reports whether the caller has left, also if the context of the call hasn't ended yet.
+	CallerGone() bool
 	// Refuse answers with a refusal by this process.
 	Refuse(e *refusal.Error) error
 	// WriteAnswer forwards an answer that isn't a stream.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -312,6 +312,8 @@
 
 // recorder is a Reply that records what the caller gets.
 type recorder struct {
+	// gone reports whether the caller has left; nil if it stays.
+	gone     func() bool
 	refused  *refusal.Error
 	status   int
 	body     string
@@ -321,6 +323,7 @@
 	heads int
 }
 
+func (r *recorder) CallerGone() bool              { return r.gone != nil && r.gone() }
 func (r *recorder) Refuse(e *refusal.Error) error { r.refused = e; return nil }
 func (r *recorder) WriteAnswer(a Answer, body []byte) error {
 	r.status, r.body = a.Status(), r.body+string(body)
--- a/io/usage/usage.go
+++ b/io/usage/usage.go
@@ -48,6 +48,15 @@
 	return n, err
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, eris.New("the connection is no socket")
+	}
+	return raw.SyscallConn()
+}
+
 type listener struct {
 	net.Listener
 	traffic *Traffic
