gateway: tokens of a raised reservation are used once another entry VM knows it

Cause: a reservation was used as soon as the store had confirmed it. Until another process reads the ledger, which may take seconds, only its holder knows it. If the holder dies then, nobody can put it back.

Evidence: the model of the put-back now kills processes at any time, one at most between a copy and the end of the put-back.

Fix: the holder tells up to three others of a raise and uses its tokens once one has answered, usually one round trip later. An answer promises that the other one writes the record again after a restoration; one that has noticed a later era, where it may have confirmed already, doesn't promise. If no call arrives, a heartbeat that shows that another one has read the ledger so far does as well, or 12 s in the store, as no copy is older. A process that stops passes on what it knows and a copy may lack. A process without others uses its tokens after 2 s. The tests of draws wait until the tokens of the primary are usable.

--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -69,6 +69,8 @@
 	writeAccepted bool
 	// sequence is the number of the last write that was sent, era the era of the store.
 	sequence, era uint64
+	// sharing bounds what may be spent to what the fleet can't forget; nil if the whole reservation may be spent at once.
+	sharing *sharing
 	// unstated is set if the store was restored from a copy and may lack the confirmed record.
 	unstated bool
 
@@ -116,6 +118,31 @@
 	return max(uint64(max(now.UnixMilli(), 0))<<processSequenceBits, r.Sequence+1)
 }
 
+// RequireSharing makes the tokens of each raise of the reservation usable only once Shared was called for it, or no copy of
+// the store can lack it any more. Otherwise nobody could put the reservation back if the process died.
+func (a *Account) RequireSharing() { a.sharing = newSharing(a.confirmed.Reserved) }
+
+// HasUnshared reports whether the reservation has tokens that aren't usable before another entry VM knows it.
+func (a *Account) HasUnshared() bool {
+	return a.sharing != nil && a.writeAccepted && a.confirmed.Reserved > a.sharing.known
+}
+
+// Unshared returns the confirmed record if its reservation has tokens that aren't usable before another entry VM knows it.
+// It must be called after each read of the store and each change of the confirmed record.
+func (a *Account) Unshared(now time.Time) (Record, bool) {
+	if a.sharing == nil || !a.writeAccepted {
+		return Record{}, false
+	}
+	return a.confirmed, a.sharing.isOpen(now, a.confirmed.Reserved)
+}
+
+// Shared records that another entry VM knows a record of this account.
+func (a *Account) Shared(r Record) {
+	if a.sharing != nil {
+		a.sharing.share(r, a.confirmed.Reserved)
+	}
+}
+
 // Recover takes back what the previous process can't have used and returns the number of tokens. age bounds the time
 // between its last record and its end.
 func (a *Account) Recover(age time.Duration) int64 {
@@ -126,6 +153,7 @@
 	a.previous = nil
 	a.spent -= unused
 	a.initialCharge -= unused
+	a.sharing.add(-unused)
 	return unused
 }
 
@@ -150,7 +178,7 @@
 	for _, w := range a.pending {
 		bound = min(bound, w.record.MaxUsed(now.Sub(w.sentAt)))
 	}
-	return bound
+	return a.sharing.bound(bound)
 }
 
 // Available returns the number of tokens that can be admitted now.
@@ -257,6 +285,7 @@
 		a.confirmed.Sequence = max(a.confirmed.Sequence, w.record.Sequence)
 	}
 	a.pending = nil
+	a.sharing.restored()
 	a.unstated = a.writeAccepted
 }
 
@@ -284,6 +313,7 @@
 	switch {
 	case i >= 0:
 		a.confirmed, a.sentAt, a.writeAccepted = r, a.pending[i].sentAt, true
+		a.sharing.confirm(r)
 		a.unstated = false
 		// An earlier restatement reserves and returns nothing, so it doesn't matter when it is applied.
 		a.pending = slices.DeleteFunc(a.pending, func(w pendingWrite) bool {
@@ -308,11 +338,13 @@
 		a.spent += reserved + credit
 		a.credit += credit
 		a.initialCharge += reserved
+		a.sharing.add(reserved)
 	}
 	if a.previous != nil {
 		a.previous = &r
 	}
 	a.confirmed = r
+	a.sharing.confirm(r)
 	a.sequence = max(a.sequence, r.Sequence)
 }
 
--- a/core/escrow/putback_test.go
+++ b/core/escrow/putback_test.go
@@ -10,13 +10,16 @@
 	"ibiswinch/core/escrow"
 )
 
-// restoreModel is a model whose store is restored from copies. A record that only a process knew that was killed is lost,
-// so processes aren't killed between a restoration and the end of the put-back.
+// restoreModel is a model whose store is restored from copies. Between a copy and the end of the put-back after the
+// restoration from it, one process is killed at most: a second one may have been the only one that knew the record of the
+// first.
 type restoreModel struct {
 	*model
 	era     uint64
 	copies  []map[string]escrow.Record
 	ends    []uint64
+	copied  []time.Time
+	killed  bool
 	eras    map[*holder]uint64
 	putBack map[*holder]*escrow.PutBack
 }
@@ -24,23 +27,35 @@
 func newRestoreModel(t *rapid.T) *restoreModel {
 	w := &restoreModel{model: newModel(t), eras: map[*holder]uint64{}, putBack: map[*holder]*escrow.PutBack{}}
 	for _, h := range w.holders {
-		w.begin(h)
+		h.account.RequireSharing()
+		w.begin(h, w.now.Add(-time.Hour))
 	}
 	return w
 }
 
-func (w *restoreModel) begin(h *holder) {
+func (w *restoreModel) begin(h *holder, at time.Time) {
 	w.putBack[h] = &escrow.PutBack{}
-	w.putBack[h].Begin(w.now.Add(-time.Hour), w.era)
+	w.putBack[h].Begin(at, w.era)
 	w.eras[h] = w.era
 }
 
 // copyStore keeps a copy for a later restoration.
 func (w *restoreModel) copyStore(*rapid.T) {
-	w.copies, w.ends = append(w.copies, maps.Clone(w.store.records)), append(w.ends, w.store.end)
+	if len(w.copies) == 0 && w.allDone() {
+		w.killed = false
+	}
+	w.copies, w.ends, w.copied = append(w.copies, maps.Clone(w.store.records)), append(w.ends, w.store.end), append(w.copied, w.now)
+}
+
+// dropCopies drops the first copies.
+func (w *restoreModel) dropCopies(count int) {
+	w.copies, w.ends, w.copied = w.copies[count:], w.ends[count:], w.copied[count:]
 }
 
 func (w *restoreModel) restore(t *rapid.T) {
+	for len(w.copies) > 0 && w.now.Sub(w.copied[0]) >= escrow.MaxCopyAge {
+		w.dropCopies(1)
+	}
 	if len(w.copies) == 0 {
 		return
 	}
@@ -51,7 +66,7 @@
 		}
 	}
 	w.store.records, w.store.end = maps.Clone(w.copies[i]), w.ends[i]
-	w.copies, w.ends = nil, nil
+	w.dropCopies(len(w.copies))
 	w.era++
 }
 
@@ -99,8 +114,26 @@
 			w.putBack[h].Observe(name, false)
 		}
 	}
-	if w.putBack[h].MayReserve(w.now, w.allDone()) && !h.account.Unstated() {
-		w.model.write(t, h)
+	if !w.putBack[h].MayReserve(w.now, w.allDone()) || h.account.Unstated() {
+		return
+	}
+	if r, inherited := h.account.PendingRecovery(); inherited && r.Era != w.era {
+		h.account.Forfeit()
+	}
+	w.model.write(t, h)
+	w.share(t, h)
+}
+
+// share tells another holder of a raise. The holder doesn't take a record of an earlier era than its own.
+func (w *restoreModel) share(t *rapid.T, h *holder) {
+	record, open := h.account.Unshared(w.now)
+	other := w.pick(t)
+	if !open || other == h || record.Era < w.eras[other] || rapid.IntRange(0, 4).Draw(t, "not reached") == 0 {
+		return
+	}
+	other.reservations.Set(h.name, record)
+	if rapid.IntRange(0, 4).Draw(t, "reply lost") > 0 {
+		h.account.Shared(record)
 	}
 }
 
@@ -131,25 +164,31 @@
 }
 
 func (w *restoreModel) restart(t *rapid.T) {
-	if !w.allDone() {
-		return
+	if w.killed {
+		if !w.allDone() {
+			return
+		}
+		w.dropCopies(len(w.copies))
 	}
+	w.killed = true
 	h := w.pick(t)
 	for _, tokens := range h.held {
 		h.used += tokens
 	}
 	h.held = nil
+	begin := w.now.Add(-time.Hour)
+	if !w.allDone() {
+		begin = w.now
+	}
 	w.now = w.now.Add(time.Duration(rapid.IntRange(2, 500).Draw(t, "down ms")) * time.Millisecond)
 	started := w.now
 	h.reservations, h.next = escrow.Reservations{}, 0
 	h.account = escrow.NewAccount(w.now, h.name, w.store.records[h.name], w.era)
-	w.begin(h)
+	h.account.RequireSharing()
+	w.begin(h, begin)
 	w.read(h)
-	switch r, inherited := h.account.PendingRecovery(); {
-	case inherited && r.Era == w.era:
+	if r, inherited := h.account.PendingRecovery(); inherited && r.Era == w.era {
 		h.account.Recover(started.Sub(time.UnixMilli(r.At)))
-	case inherited:
-		h.account.Forfeit()
 	}
 }
 
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -243,6 +243,7 @@
 	for _, lp := range b.partitions {
 		errs = append(errs, lp.returnReservations(ctx))
 	}
+	b.handOverKnowledge(context.WithoutCancel(ctx))
 	err := errors.Join(errs...)
 	if err != nil {
 		b.handOverAll(context.WithoutCancel(ctx))
--- a/gateway/draw.go
+++ b/gateway/draw.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ibiswinch/core/event"
+	"ibiswinch/core/keyed"
 	"ibiswinch/io/apexlog"
 )
 
@@ -42,6 +43,8 @@
 	Draw(ctx context.Context, addr netip.AddrPort, team string, need, want int64) (int64, error)
 	// HandOver transfers tokens, by team, that are already charged to the account here.
 	HandOver(ctx context.Context, addr netip.AddrPort, tokens map[string]int64) error
+	// Share tells of records of the ledger and reports whether the peer will write them again if the ledger loses them.
+	Share(ctx context.Context, addr netip.AddrPort, records []keyed.Record) (bool, error)
 }
 
 // pendingDraw is a draw in progress. Further calls of the team wait for its end.
--- a/gateway/draw_test.go
+++ b/gateway/draw_test.go
@@ -58,6 +58,14 @@
 	return nil
 }
 
+func (m *memoryPeers) Share(_ context.Context, addr netip.AddrPort, records []keyed.Record) (bool, error) {
+	g := m.gatewayAt(addr)
+	if g == nil {
+		return false, errCutOff
+	}
+	return g.LearnReservations(records), nil
+}
+
 // peerFixture is a fixture with two entry VMs of one failure domain, one of which is the primary of the team.
 type peerFixture struct {
 	*fixture
@@ -79,7 +87,7 @@
 	p.waitFor("members", func() bool {
 		return len(p.primary.fleet.peers()) == 1 && len(p.secondary.fleet.peers()) == 1
 	})
-	p.waitFor("reserve", func() bool { return reservedTokens(p.primary) > 0 })
+	p.waitFor("reserve", func() bool { return reservedTokens(p.primary) > 0 && p.primary.FreeTokens() > 0 })
 	return p
 }
 
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -73,12 +73,20 @@
 	Restored *keyed.Era `json:"restored,omitempty"`
 	// Settled is the latest era of the log in which the sender may reserve tokens; it is missing if there is none.
 	Settled *keyed.Era `json:"settled,omitempty"`
+	// Ledger is how far the sender has read the partitions of the ledger, by number.
+	Ledger []ledgerPosition `json:"ledger,omitempty"`
 	// Limits are those that servers named to the sender lately, by incarnation.
 	Limits map[string]float64 `json:"limits,omitempty"`
 	// LeavingServers are the incarnations that lately said to the sender that they leave.
 	LeavingServers []string `json:"leavingServers,omitempty"`
 }
 
+// ledgerPosition is the offset before which all records of a partition of the ledger were read in an era.
+type ledgerPosition struct {
+	Era  keyed.Era `json:"era"`
+	Next uint64    `json:"next"`
+}
+
 // errInvalidHeartbeat is wrapped by the errors of heartbeats that no entry VM sends.
 var errInvalidHeartbeat = eris.New("invalid heartbeat")
 
@@ -139,6 +147,8 @@
 	// may reserve tokens.
 	restored map[string]keyed.Era
 	settled  keyed.Era
+	// ledgerRead is how far the others have read the partitions of the ledger.
+	ledgerRead map[string][]ledgerPosition
 	// calls holds the calls that the other entry VMs had lately, by name and service.
 	calls map[string]map[string]int
 	// leaving is set when this entry VM stops.
@@ -153,7 +163,7 @@
 
 func newFleetController(cfg Config) *fleetController {
 	f := &fleetController{
-		cfg: cfg, members: map[string]time.Time{}, restored: map[string]keyed.Era{}, clockOffsets: map[string]time.Duration{}, calls: map[string]map[string]int{},
+		cfg: cfg, members: map[string]time.Time{}, restored: map[string]keyed.Era{}, ledgerRead: map[string][]ledgerPosition{}, clockOffsets: map[string]time.Duration{}, calls: map[string]map[string]int{},
 		started: cfg.Now(), announceNow: make(chan struct{}, 1), incarnations: map[string]string{},
 		addresses: map[string]netip.AddrPort{}, unreachableUntil: map[string]time.Time{},
 		zones: map[string]string{cfg.Name: cfg.Zone}, primaries: map[string][]string{},
@@ -234,7 +244,7 @@
 	value, err := json.Marshal(heartbeat{
 		Incarnation: f.cfg.Incarnation, Address: f.cfg.Address.String(), Zone: f.cfg.Zone,
 		Leaving: f.leaving.Load(), Time: f.cfg.Now().UnixMilli(), Limits: f.servers.ownLimits(f.count()), Calls: f.servers.calls(),
-		Evidence: f.rollouts.evidence(), Restored: f.budgets.restoredEra(), Settled: f.budgets.settledEra(), LeavingServers: f.servers.ownLeaving(f.count()),
+		Evidence: f.rollouts.evidence(), Restored: f.budgets.restoredEra(), Settled: f.budgets.settledEra(), Ledger: f.budgets.ledgerRead(), LeavingServers: f.servers.ownLeaving(f.count()),
 	})
 	if err != nil {
 		return eris.Wrap(err, "encode heartbeat")
@@ -346,7 +356,7 @@
 		// The sender has read nothing of the ledger before this era.
 		f.restored[name] = f.follow.era
 	}
-	f.calls[name] = h.Calls
+	f.calls[name], f.ledgerRead[name] = h.Calls, h.Ledger
 	if addr, err := netip.ParseAddrPort(h.Address); err == nil && name != f.cfg.Name {
 		f.addresses[name] = addr
 		f.setZone(name, h)
@@ -405,6 +415,18 @@
 	return true
 }
 
+// hasReadLedger reports whether another entry VM has read a partition of the ledger up to an offset in an era.
+func (f *fleetController) hasReadLedger(partition int, era keyed.Era, end uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, positions := range f.ledgerRead {
+		if name != f.cfg.Name && partition < len(positions) && positions[partition].Era == era && positions[partition].Next >= end {
+			return true
+		}
+	}
+	return false
+}
+
 // count is the number of live entry VMs, this one included. It removes those whose heartbeats have stopped.
 func (f *fleetController) count() int {
 	f.mu.Lock()
@@ -420,6 +442,7 @@
 			delete(f.calls, name)
 			delete(f.members, name)
 			delete(f.restored, name)
+			delete(f.ledgerRead, name)
 			delete(f.clockOffsets, name)
 			delete(f.addresses, name)
 			f.dropZone(name)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -284,5 +284,9 @@
 // ReceiveTokens receives tokens that another entry VM no longer needs.
 func (g *Gateway) ReceiveTokens(tokens map[string]int64) { g.budgets.receive(tokens) }
 
+// LearnReservations takes note of records of the ledger that another entry VM has written, and reports whether this one will
+// write them again if the ledger loses them.
+func (g *Gateway) LearnReservations(records []keyed.Record) bool { return g.budgets.learn(records) }
+
 // Catalog returns the configuration in force, nil before the first.
 func (g *Gateway) Catalog() *catalog.Catalog { return g.catalogs.now() }
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -28,6 +28,9 @@
 	// accountsCreated is set once the accounts for the first configuration exist.
 	accountsCreated bool
 
+	// awaitedRead are own records that no other entry VM has answered for, nil if there are none.
+	awaitedRead *awaitedRead
+
 	// eraChanged is set when another stream was found restored from a copy, so that the partition must be read.
 	eraChanged atomic.Bool
 
@@ -83,6 +86,9 @@
 	a := lp.accounts[team]
 	if a == nil {
 		a = escrow.NewAccount(lp.budgets.cfg.Now(), lp.budgets.cfg.Name, lp.recordsOf(team).Record(lp.budgets.cfg.Name), lp.putBack.Era())
+		if lp.budgets.cfg.Peers != nil {
+			a.RequireSharing()
+		}
 		lp.accounts[team] = a
 		lp.recover(team, a)
 	}
--- a/gateway/primaries.go
+++ b/gateway/primaries.go
@@ -29,6 +29,13 @@
 	return list
 }
 
+// isAlone reports whether there are no other entry VMs, and there have been none since this process started.
+func (f *fleetController) isAlone() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.addresses) == 0 && f.loaded && f.cfg.Now().Sub(f.started) >= aloneAfter
+}
+
 // setZone and dropZone maintain the candidates for primaries. The caller holds mu.
 func (f *fleetController) setZone(name string, h heartbeat) {
 	if h.Leaving {
--- a/gateway/putback.go
+++ b/gateway/putback.go
@@ -37,7 +37,7 @@
 	era := uint64(lp.follow.era)
 	lp.remembersEra = restored && lp.lastSettledEra != nil && lp.budgets.fleet.knewMembersBefore(lp.follow.era)
 	lp.putBack.Begin(now, era)
-	lp.mayReserve, lp.restoreAnnounced, lp.eraRead = false, false, false
+	lp.mayReserve, lp.restoreAnnounced, lp.eraRead, lp.readEnd = false, false, false, 0
 	for _, a := range lp.accounts {
 		a.Restored(era)
 	}
--- a/gateway/renew.go
+++ b/gateway/renew.go
@@ -85,7 +85,7 @@
 func (lp *ledgerPartition) renew(ctx context.Context) error {
 	lp.ioMu.Lock()
 	defer lp.ioMu.Unlock()
-	if lp.closed || lp.accountsCreated && !lp.needsWrite() && !lp.isPuttingBack() && !lp.eraChanged.Load() || lp.waitsForOthers() {
+	if lp.closed || lp.accountsCreated && !lp.needsWrite() && !lp.hasUnshared() && !lp.isPuttingBack() && !lp.eraChanged.Load() || lp.waitsForOthers() {
 		return nil
 	}
 	defer lp.endRenewal()
@@ -108,9 +108,13 @@
 		}
 		plans := lp.plan()
 		if len(plans) == 0 {
+			lp.shareRaises(ctx)
 			return nil
 		}
 		err := lp.append(ctx, plans)
+		if err == nil {
+			lp.shareRaises(ctx)
+		}
 		var conflict *keyed.ConflictError
 		if !errors.As(err, &conflict) {
 			return err
--- /dev/null
+++ b/gateway/share_test.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"ibiswinch/core/escrow"
+)
+
+// newShareFixture returns gateways of three entry VMs that reach each other, and a function that ends the third as a crash
+// would.
+func newShareFixture(t *testing.T) (f *fixture, peers *memoryPeers, third *Gateway, stop func()) {
+	peers = &memoryPeers{gateways: map[netip.AddrPort]*Gateway{}}
+	port := uint16(7200)
+	f = newFixtureWith(t, func(cfg *Config) {
+		answerAll(cfg)
+		port++
+		cfg.Peers, cfg.Address = peers, netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+	})
+	other := f.start("vm-2")
+	third, stop = f.startStoppable("vm-3")
+	peers.mu.Lock()
+	for _, g := range []*Gateway{f.gateway, other, third} {
+		peers.gateways[g.cfg.Address] = g
+	}
+	peers.mu.Unlock()
+	f.waitFor("members", func() bool { return len(f.gateway.fleet.peers()) == 2 && len(third.fleet.peers()) == 2 })
+	f.waitForMembers(f.gateway, other, third)
+	return f, peers, third, stop
+}
+
+// TestReservationKnownToDeadProcess guards against tokens that are reserved a second time because a process was killed, and
+// the store restored from an older copy, before anybody else had read its reservation.
+func TestReservationKnownToDeadProcess(t *testing.T) {
+	f, peers, third, stop := newShareFixture(t)
+	var others []*Gateway
+	for _, g := range peers.gateways {
+		if g != third {
+			others = append(others, g)
+		}
+	}
+	ends := f.log.ends()
+	for _, g := range others {
+		g.budgets.partitions[0].ioMu.Lock()
+	}
+	sum := f.spend(60_000, third)
+	stop()
+	f.log.restore(ends, nil)
+	for _, g := range others {
+		g.budgets.partitions[0].ioMu.Unlock()
+	}
+	f.c.Assert(sum > 40_000, qt.IsTrue, qt.Commentf("%d tokens", sum))
+	f.waitWithin(2*escrow.PutBackTimeout, "reserving again", func() bool {
+		return *others[0].budgets.settledEra() == 2 && *others[1].budgets.settledEra() == 2
+	})
+	f.c.Assert(f.ledgerRecord("team/vm-3").Reserved >= sum-credit(third), qt.IsTrue)
+}
+
+// TestUnsharedTokensAreUsed guards against tokens of a reservation that are used while no other entry VM knows it.
+func TestUnsharedTokensAreUsed(t *testing.T) {
+	f, peers, third, _ := newShareFixture(t)
+	for _, g := range peers.gateways {
+		if g != third {
+			lp := g.budgets.partitions[0]
+			lp.ioMu.Lock()
+			defer lp.ioMu.Unlock()
+		}
+	}
+	known := third.FreeTokens()
+	peers.mu.Lock()
+	peers.cutOff = true
+	peers.mu.Unlock()
+	sum := f.spend(60_000, third)
+	f.c.Assert(sum <= known, qt.IsTrue, qt.Commentf("%d tokens used, %d known to others", sum, known))
+}
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"ibiswinch/core/keyed"
 )
 
 const (
@@ -27,6 +29,9 @@
 	GiveTokens(ctx context.Context, team string, need, want int64) int64
 	// ReceiveTokens accepts tokens of another entry VM, by team.
 	ReceiveTokens(tokens map[string]int64)
+	// LearnReservations takes note of records of the ledger and reports whether this entry VM will write them again if the
+	// ledger loses them.
+	LearnReservations(records []keyed.Record) bool
 }
 
 // NewPoolHandler serves the calls of other entry VMs. They carry no token, since the platform gives entry VMs no shared
@@ -56,6 +61,15 @@
 	return &HandTokensReply{}, nil
 }
 
+// ShareReservations implements Pool.
+func (s poolService) ShareReservations(_ context.Context, r *ShareReservationsRequest) (*ShareReservationsReply, error) {
+	records := make([]keyed.Record, 0, len(r.GetReservations()))
+	for _, reservation := range r.GetReservations() {
+		records = append(records, keyed.Record{Key: reservation.GetKey(), Value: reservation.GetValue()})
+	}
+	return &ShareReservationsReply{Known: s.pool.LearnReservations(records)}, nil
+}
+
 // PoolClient calls the service Pool of other entry VMs.
 type PoolClient struct {
 	http *http.Client
@@ -107,3 +121,17 @@
 	}
 	return nil
 }
+
+// Share tells the entry VM at addr of records of the ledger and reports whether it will write them again if the ledger loses
+// them.
+func (c *PoolClient) Share(ctx context.Context, addr netip.AddrPort, records []keyed.Record) (bool, error) {
+	request := &ShareReservationsRequest{}
+	for _, r := range records {
+		request.Reservations = append(request.Reservations, &SharedReservation{Key: r.Key, Value: r.Value})
+	}
+	reply, err := c.clientFor(addr).ShareReservations(ctx, request)
+	if err != nil {
+		return false, eris.Wrap(err, "share reservations")
+	}
+	return reply.GetKnown(), nil
+}
--- a/io/peer/pool.twirp.go
+++ b/io/peer/pool.twirp.go
@@ -35,6 +35,9 @@
 
 	// HandTokens brings tokens that the caller has charged to its own reservation.
 	HandTokens(context.Context, *HandTokensRequest) (*HandTokensReply, error)
+
+	// ShareReservations tells the callee of reservations, which it writes again if the ledger loses them.
+	ShareReservations(context.Context, *ShareReservationsRequest) (*ShareReservationsReply, error)
 }
 
 // ====================
@@ -43,7 +46,7 @@
 
 type poolProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -71,9 +74,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "ibiswinch.peer", "Pool")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "DrawTokens",
 		serviceURL + "HandTokens",
+		serviceURL + "ShareReservations",
 	}
 
 	return &poolProtobufClient{
@@ -176,13 +180,59 @@
 	return out, nil
 }
 
+func (c *poolProtobufClient) ShareReservations(ctx context.Context, in *ShareReservationsRequest) (*ShareReservationsReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "ibiswinch.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Pool")
+	ctx = ctxsetters.WithMethodName(ctx, "ShareReservations")
+	caller := c.callShareReservations
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ShareReservationsRequest) (*ShareReservationsReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ShareReservationsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ShareReservationsRequest) when calling interceptor")
+					}
+					return c.callShareReservations(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ShareReservationsReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ShareReservationsReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *poolProtobufClient) callShareReservations(ctx context.Context, in *ShareReservationsRequest) (*ShareReservationsReply, error) {
+	out := new(ShareReservationsReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Pool JSON Client
 // ================
 
 type poolJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -210,9 +260,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "ibiswinch.peer", "Pool")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "DrawTokens",
 		serviceURL + "HandTokens",
+		serviceURL + "ShareReservations",
 	}
 
 	return &poolJSONClient{
@@ -315,6 +366,52 @@
 	return out, nil
 }
 
+func (c *poolJSONClient) ShareReservations(ctx context.Context, in *ShareReservationsRequest) (*ShareReservationsReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "ibiswinch.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Pool")
+	ctx = ctxsetters.WithMethodName(ctx, "ShareReservations")
+	caller := c.callShareReservations
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ShareReservationsRequest) (*ShareReservationsReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ShareReservationsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ShareReservationsRequest) when calling interceptor")
+					}
+					return c.callShareReservations(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ShareReservationsReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ShareReservationsReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *poolJSONClient) callShareReservations(ctx context.Context, in *ShareReservationsRequest) (*ShareReservationsReply, error) {
+	out := new(ShareReservationsReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Pool Server Handler
 // ===================
@@ -418,6 +515,9 @@
 	case "HandTokens":
 		s.serveHandTokens(ctx, resp, req)
 		return
+	case "ShareReservations":
+		s.serveShareReservations(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -785,6 +885,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *poolServer) serveShareReservations(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveShareReservationsJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveShareReservationsProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *poolServer) serveShareReservationsJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ShareReservations")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ShareReservationsRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Pool.ShareReservations
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ShareReservationsRequest) (*ShareReservationsReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ShareReservationsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ShareReservationsRequest) when calling interceptor")
+					}
+					return s.Pool.ShareReservations(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ShareReservationsReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ShareReservationsReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ShareReservationsReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ShareReservationsReply and nil error while calling ShareReservations. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *poolServer) serveShareReservationsProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ShareReservations")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ShareReservationsRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Pool.ShareReservations
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ShareReservationsRequest) (*ShareReservationsReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ShareReservationsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ShareReservationsRequest) when calling interceptor")
+					}
+					return s.Pool.ShareReservations(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ShareReservationsReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ShareReservationsReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ShareReservationsReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ShareReservationsReply and nil error while calling ShareReservations. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *poolServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor1, 0
 }
@@ -801,21 +1081,28 @@
 }
 
 var twirpFileDescriptor1 = []byte{
-	// 256 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xe2, 0xe2, 0x2a, 0xc8, 0xcf, 0xcf,
-	0xd1, 0x2b, 0x28, 0xca, 0x2f, 0xc9, 0x17, 0xe2, 0xcb, 0x4c, 0xca, 0x2c, 0x2e, 0xcf, 0xcc, 0x4b,
-	0xce, 0xd0, 0x2b, 0x48, 0x4d, 0x2d, 0x52, 0xf2, 0xe7, 0x12, 0x74, 0x29, 0x4a, 0x2c, 0x0f, 0xc9,
-	0xcf, 0x4e, 0xcd, 0x2b, 0x0e, 0x4a, 0x2d, 0x2c, 0x4d, 0x2d, 0x2e, 0x11, 0x12, 0xe2, 0x62, 0x29,
-	0x49, 0x4d, 0xcc, 0x95, 0x60, 0x54, 0x60, 0xd4, 0xe0, 0x0c, 0x02, 0xb3, 0x41, 0x62, 0x79, 0xa9,
-	0xa9, 0x29, 0x12, 0x4c, 0x0a, 0x8c, 0x1a, 0xcc, 0x41, 0x60, 0x36, 0x48, 0xac, 0x3c, 0x31, 0xaf,
-	0x44, 0x82, 0x19, 0x22, 0x06, 0x62, 0x2b, 0x69, 0x72, 0xf1, 0x23, 0x1b, 0x58, 0x90, 0x53, 0x29,
-	0x24, 0xc6, 0xc5, 0x56, 0x02, 0xe6, 0x82, 0x0d, 0x64, 0x0e, 0x82, 0xf2, 0x94, 0x5c, 0xb9, 0x04,
-	0x3d, 0x12, 0xf3, 0x52, 0x50, 0xed, 0x36, 0xe0, 0x62, 0x05, 0xd9, 0x07, 0x52, 0xcb, 0xac, 0xc1,
-	0x6d, 0x24, 0xa5, 0x87, 0xea, 0x60, 0xbd, 0x90, 0xd4, 0xc4, 0x5c, 0xa8, 0x0e, 0x88, 0x42, 0x25,
-	0x0b, 0x2e, 0x2e, 0x84, 0x20, 0x56, 0xb7, 0x23, 0x1c, 0xc0, 0x84, 0xe2, 0x00, 0x41, 0x2e, 0x7e,
-	0x64, 0x07, 0x14, 0xe4, 0x54, 0x1a, 0xad, 0x62, 0xe4, 0x62, 0x09, 0xc8, 0xcf, 0xcf, 0x11, 0x0a,
-	0xe0, 0xe2, 0x42, 0xf8, 0x43, 0x48, 0x11, 0xdd, 0x19, 0x18, 0x81, 0x26, 0x25, 0x8f, 0x4f, 0x09,
-	0x28, 0x18, 0x02, 0xb8, 0xb8, 0x10, 0xb6, 0x61, 0x9a, 0x88, 0x11, 0x14, 0x98, 0x26, 0xa2, 0x39,
-	0xd6, 0x49, 0x38, 0x4a, 0x10, 0xae, 0x42, 0x3f, 0x33, 0x5f, 0x1f, 0xa4, 0x28, 0x89, 0x0d, 0x1c,
-	0xd1, 0xc6, 0x80, 0x00, 0x00, 0x00, 0xff, 0xff, 0xca, 0x00, 0xb5, 0x2d, 0xf6, 0x01, 0x00, 0x00,
+	// 353 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x93, 0x41, 0x4f, 0xf2, 0x40,
+	0x10, 0x86, 0x03, 0x05, 0xf2, 0x7d, 0x23, 0x11, 0xbb, 0x12, 0xd2, 0x70, 0x11, 0xf7, 0x60, 0xea,
+	0xa5, 0x18, 0xbc, 0x98, 0x78, 0x33, 0x92, 0x78, 0x93, 0xac, 0x9c, 0xbc, 0x2d, 0x32, 0x09, 0x4d,
+	0xcb, 0x6e, 0x6d, 0x0b, 0x4d, 0x7f, 0x86, 0xff, 0xd8, 0xec, 0xb6, 0xb1, 0x2d, 0xdb, 0x18, 0x6f,
+	0x33, 0x93, 0x77, 0xde, 0x79, 0x3a, 0xd3, 0x05, 0x88, 0xa4, 0x0c, 0xbd, 0x28, 0x96, 0xa9, 0x24,
+	0xe7, 0xfe, 0xc6, 0x4f, 0x32, 0x5f, 0x7c, 0xec, 0xbc, 0x08, 0x31, 0xa6, 0xaf, 0x60, 0x3f, 0xc7,
+	0x3c, 0x5b, 0xcb, 0x00, 0x45, 0xc2, 0xf0, 0xf3, 0x80, 0x49, 0x4a, 0x08, 0xf4, 0x52, 0xe4, 0x7b,
+	0xa7, 0x33, 0xeb, 0xb8, 0xff, 0x99, 0x8e, 0x55, 0x4d, 0x20, 0x6e, 0x9d, 0xee, 0xac, 0xe3, 0x5a,
+	0x4c, 0xc7, 0xaa, 0x96, 0x71, 0x91, 0x3a, 0x56, 0x51, 0x53, 0x31, 0xbd, 0x85, 0x51, 0xdd, 0x30,
+	0x0a, 0x73, 0x32, 0x81, 0x41, 0xaa, 0x53, 0x6d, 0x68, 0xb1, 0x32, 0xa3, 0x4b, 0xb0, 0x5f, 0xb8,
+	0xd8, 0x36, 0x67, 0xdf, 0x41, 0x5f, 0xcd, 0x53, 0x5a, 0xcb, 0x3d, 0x5b, 0x4c, 0xbd, 0x26, 0xb0,
+	0xb7, 0x46, 0xbe, 0x2f, 0x3b, 0x0a, 0x21, 0x7d, 0x00, 0xa8, 0x8a, 0xad, 0xec, 0x15, 0x40, 0xb7,
+	0x01, 0x60, 0xc3, 0xa8, 0x0e, 0x10, 0x85, 0x39, 0xe5, 0xe0, 0xbc, 0xed, 0x78, 0x8c, 0x0c, 0x13,
+	0x8c, 0x8f, 0x3c, 0xf5, 0x65, 0x85, 0xb6, 0x84, 0x61, 0x5c, 0x2b, 0x97, 0x84, 0xd7, 0xa7, 0x84,
+	0xba, 0x7f, 0x5b, 0x33, 0x60, 0x8d, 0x36, 0xfa, 0x08, 0xb6, 0x21, 0x21, 0x17, 0x60, 0x05, 0x98,
+	0x97, 0xd4, 0x2a, 0x24, 0x63, 0xe8, 0x1f, 0x79, 0x78, 0x40, 0xcd, 0x3c, 0x64, 0x45, 0x42, 0x3d,
+	0x98, 0xb4, 0xf0, 0xa9, 0x2d, 0x8f, 0xa1, 0x1f, 0x08, 0x99, 0x09, 0xed, 0xf1, 0x8f, 0x15, 0xc9,
+	0xe2, 0xab, 0x0b, 0xbd, 0x95, 0x94, 0x21, 0x59, 0x01, 0x54, 0x77, 0x21, 0x06, 0xb4, 0xf1, 0x13,
+	0x4c, 0xaf, 0x7e, 0x93, 0xa8, 0x81, 0x2b, 0x80, 0x6a, 0x7b, 0xa6, 0xa3, 0x71, 0x5a, 0xd3, 0xf1,
+	0x64, 0xf9, 0x04, 0xcb, 0xcd, 0xd4, 0x3f, 0x8e, 0xb8, 0xad, 0xfb, 0x6d, 0xb9, 0xcf, 0xf4, 0xe6,
+	0x0f, 0xca, 0x28, 0xcc, 0x9f, 0x2e, 0xdf, 0xed, 0x1f, 0xe1, 0xdc, 0x97, 0x73, 0xa5, 0xdd, 0x0c,
+	0xf4, 0xfb, 0xb8, 0xff, 0x0e, 0x00, 0x00, 0xff, 0xff, 0xb0, 0x1a, 0x50, 0x92, 0x2d, 0x03, 0x00,
+	0x00,
 }
