gateway, io/peer: tests of the answer for a shared reservation

TestRecordOfEarlierEraIsAnsweredFor: an entry VM doesn't answer for a record of an earlier era than it has noticed, and writes it again. TestShareLosesAnswer: the records and the answer arrive as they were sent.

--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -3,10 +3,12 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"ibiswinch/core/escrow"
+	"ibiswinch/core/keyed"
 )
 
 // newShareFixture returns gateways of three entry VMs that reach each other, and a function that ends the third as a crash
@@ -75,3 +77,22 @@
 	sum := f.spend(60_000, third)
 	f.c.Assert(sum <= known, qt.IsTrue, qt.Commentf("%d tokens used, %d known to others", sum, known))
 }
+
+// TestRecordOfEarlierEraIsAnsweredFor guards against an answer for a record of an earlier era by an entry VM that may have
+// confirmed already that all it knew was put back. It writes the record all the same.
+func TestRecordOfEarlierEraIsAnsweredFor(t *testing.T) {
+	f := newFixture(t)
+	f.waitForMembers(f.gateway)
+	record := escrow.Record{Reserved: 1000, Base: 500, Used: 500, At: time.Now().UnixMilli(), Sequence: 1, Era: uint64(firstEra)}
+	share := func(holder string) bool {
+		r, err := encodeReservation("team", holder, record)
+		f.c.Assert(err, qt.IsNil)
+		return f.gateway.LearnReservations([]keyed.Record{r})
+	}
+	f.c.Assert(share("vm-2"), qt.IsTrue)
+	f.log.restore(f.log.ends(), nil)
+	f.waitFor("new era", func() bool { return *f.gateway.budgets.settledEra() == 2 })
+	f.c.Assert(f.ledgerRecord("team/vm-2").Reserved, qt.Equals, record.Reserved)
+	f.c.Assert(share("vm-3"), qt.IsFalse)
+	f.waitFor("record of vm-3", func() bool { return f.ledgerRecord("team/vm-3").Reserved == record.Reserved })
+}
--- a/io/peer/pool_test.go
+++ b/io/peer/pool_test.go
@@ -36,3 +36,32 @@
 		}
 	}
 }
+
+// learningPool answers for all records but those with the key "unknown".
+type learningPool struct {
+	fixedPool
+	learned *[]keyed.Record
+}
+
+func (p learningPool) LearnReservations(records []keyed.Record) bool {
+	*p.learned = append(*p.learned, records...)
+	return records[0].Key != "unknown"
+}
+
+// TestShareLosesAnswer guards against records that arrive changed, and against tokens that are used although the callee
+// doesn't answer for them.
+func TestShareLosesAnswer(t *testing.T) {
+	c := qt.New(t)
+	var learned []keyed.Record
+	server := httptest.NewServer(peer.NewPoolHandler(learningPool{learned: &learned}))
+	defer server.Close()
+	addr := server.Listener.Addr().(*net.TCPAddr).AddrPort()
+	client := peer.NewPoolClient(&net.Dialer{})
+	for key, want := range map[string]bool{"team/vm-1": true, "unknown": false} {
+		sent := keyed.Record{Key: key, Value: []byte(`{"reserved":5}`)}
+		known, err := client.Share(context.Background(), addr, []keyed.Record{sent})
+		c.Assert(err, qt.IsNil)
+		c.Check(known, qt.Equals, want)
+		c.Check(learned[len(learned)-1], qt.DeepEquals, sent)
+	}
+}
