gateway: a stopping process passes on what it knows and its tokens at the same time

What callers would see: a stop that outlasts its grace period, and requests cut off by its end. Found by arithmetic, not seen.

Cause: since a process that stops first told others of the reservations that a copy of the store may lack (up to 0.1 s if they don't answer), then handed over its tokens (0.15 s for each peer that doesn't). At least 0.225 s of the grace period are left then.

Fix: both are done at the same time. TestStopKeepsKnowledge checks that what a stopping process knows reaches another; without the call it fails.

--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -243,10 +243,13 @@
 	for _, lp := range b.partitions {
 		errs = append(errs, lp.returnReservations(ctx))
 	}
-	b.handOverKnowledge(context.WithoutCancel(ctx))
 	err := errors.Join(errs...)
+	var wg sync.WaitGroup
+	// The grace period is nearly over: both at once.
+	wg.Go(func() { b.handOverKnowledge(context.WithoutCancel(ctx)) })
 	if err != nil {
 		b.handOverAll(context.WithoutCancel(ctx))
 	}
+	wg.Wait()
 	return err
 }
--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/netip"
 	"testing"
 	"time"
@@ -96,3 +97,16 @@
 	f.c.Assert(share("vm-3"), qt.IsFalse)
 	f.waitFor("record of vm-3", func() bool { return f.ledgerRecord("team/vm-3").Reserved == record.Reserved })
 }
+
+// TestStopKeepsKnowledge guards against the record of a dead process that is lost because the only process that knows it
+// stops before the log is restored.
+func TestStopKeepsKnowledge(t *testing.T) {
+	f, _, third, stop := newShareFixture(t)
+	record := escrow.Record{Reserved: 1000, Base: 500, Used: 500, At: time.Now().UnixMilli(), Sequence: 1, Era: uint64(firstEra)}
+	r, err := encodeReservation("team", "vm-9", record)
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(third.LearnReservations([]keyed.Record{r}), qt.IsTrue)
+	stop()
+	f.c.Assert(third.ReturnReservations(context.Background()), qt.IsNil)
+	f.waitFor("record of vm-9", func() bool { return f.gateway.budgets.usedBy("team", "vm-9") == record.Base })
+}
