--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -255,9 +255,13 @@
 func (b *budgetController) returnReservations(ctx context.Context, ledgerUntil time.Time) error {
 	b.endRenewals()
 	err := b.returnToLedger(ctx, ledgerUntil)
+	var wg sync.WaitGroup
+	// The grace period is nearly over: both at once.
+	wg.Go(func() { b.handOverKnowledge(ctx) })
 	if err != nil {
 		b.handOverAll(ctx)
 	}
+	wg.Wait()
 	return err
 }
 
