gateway: a call doesn't wait for one draw of tokens after the other

Cause: draws of a team run one after the other, and each serves the calls that wait as far as its tokens go. A call that got none awaited or began the next draw, and that loop didn't look at the time until which the call may wait.

A call to another entry VM that has begun is not ended, as its tokens would be lost.

--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -165,7 +165,8 @@
 	return b.partitions[h.Sum32()%uint32(len(b.partitions))]
 }
 
-// admit holds tokens of a team for a call. It waits for tokens until the given time, but at most maxReserveWait.
+// admit holds tokens of a team for a call. It waits for tokens until the given time, for the ledger at most maxReserveWait. A
+// call to another entry VM that has begun is not ended.
 func (b *budgetController) admit(ctx context.Context, id string, team *catalog.Team, tokens int64, until time.Time) *refusal.Error {
 	if team == nil || !team.Limited || tokens == 0 {
 		return nil
@@ -179,6 +180,8 @@
 		return nil
 	}
 	defer lp.endWait(team.Name, tokens)
+	drawCtx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
 	if latest := b.cfg.Now().Add(maxReserveWait); until.After(latest) {
 		until = latest
 	}
@@ -195,7 +198,7 @@
 		case !b.cfg.Now().Before(until) || lp.isExhausted(team.Name, tokens):
 			return lp.refuse(id, team.Name, tokens)
 		case noTokens || drawDue:
-			if b.draw(ctx, lp, team.Name, tokens) {
+			if b.draw(drawCtx, lp, team.Name, tokens) {
 				return nil
 			}
 			renewalsBefore = lp.actAsPrimary(team.Name)
--- a/gateway/draw_test.go
+++ b/gateway/draw_test.go
@@ -24,6 +24,8 @@
 	gateways    map[netip.AddrPort]*Gateway
 	cutOff      bool
 	loseReplies bool
+	// slow makes each draw take the time and give no more than is needed; 0 for no time.
+	slow time.Duration
 }
 
 var errCutOff = errors.New("cut")
@@ -42,6 +44,13 @@
 	if g == nil {
 		return 0, errCutOff
 	}
+	m.mu.Lock()
+	slow := m.slow
+	m.mu.Unlock()
+	if slow > 0 {
+		pause(ctx, slow)
+		return need, nil
+	}
 	n := g.GiveTokens(ctx, team, need, want)
 	if m.loseReplies {
 		return 0, errCutOff
@@ -155,3 +164,27 @@
 	p.c.Assert(p.secondary.FreeTokens() > 0, qt.IsTrue)
 	p.c.Assert(p.primary.FreeTokens(), qt.Equals, int64(0))
 }
+
+// TestCallsWaitForDrawsOfOthers guards against calls that wait for one draw of tokens after the other, each of which serves
+// another call, until their callers leave.
+func TestCallsWaitForDrawsOfOthers(t *testing.T) {
+	p := newPeerFixture(t)
+	p.peers.mu.Lock()
+	p.peers.slow = drawTimeout * 4 / 5
+	p.peers.mu.Unlock()
+	const calls, tokens = 30, 3000
+	const wait = 400 * time.Millisecond
+	team := p.secondary.Catalog().Team("team")
+	longest := make(chan time.Duration, calls)
+	for i := range calls {
+		go func() {
+			start := time.Now()
+			p.secondary.budgets.admit(context.Background(), fmt.Sprint("r-", i), team, tokens, start.Add(wait))
+			longest <- time.Since(start)
+		}()
+	}
+	for range calls {
+		d := <-longest
+		p.c.Check(d < wait+2*drawTimeout, qt.IsTrue, qt.Commentf("a call took %v", d))
+	}
+}
