gateway: the link is checked again once a call has its tokens

Cause: the link is checked when a call arrives. This one waited for tokens afterwards, and the link filled meanwhile.

Evidence: TestLinkFillsWhileCallWaits sent one call before and refuses it now.

Fix: the check is made again after the tokens are held; they are released if the call is refused.

--- a/gateway/load_test.go
+++ b/gateway/load_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,6 +26,20 @@
 	f.c.Assert(f.backend.attempts, qt.HasLen, 1)
 }
 
+// TestLinkFillsWhileCallWaits guards against a call that is sent on into a full link because the link was free when the call
+// arrived.
+func TestLinkFillsWhileCallWaits(t *testing.T) {
+	f := newFixtureWith(t, func(cfg *Config) {
+		cfg.Limits = overload.Limits{LinkBytesPerSecond: 1000}
+	}, answered("1"))
+	var checks atomic.Int64
+	f.gateway.load.cfg.BytesSent = func() int64 { return 2000 * (checks.Add(1) - 1) }
+	r := f.post("/order/1")
+	f.c.Assert(f.backend.attempts, qt.HasLen, 0)
+	f.c.Assert(r.refused.Reason, qt.Equals, refusal.Overloaded)
+	f.c.Assert(f.gateway.Dump().Budgets[0].Held, qt.Equals, int64(0))
+}
+
 // TestOverloadedVMIsNotReady guards against an entry VM with a full link that keeps getting new connections.
 func TestOverloadedVMIsNotReady(t *testing.T) {
 	f := newFixtureWith(t, func(cfg *Config) { cfg.Limits = overload.Limits{LinkBytesPerSecond: 1000} })
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -28,6 +28,8 @@
 	catalog *catalog.Catalog
 	route   *catalog.Route
 	team    *catalog.Team
+	// receivedAt is when the whole call was received.
+	receivedAt time.Time
 	// deadline is the earlier of the caller's deadline and the route's time-out.
 	deadline time.Time
 	// heldTokens are held in the team's budget until the call ends.
@@ -41,10 +43,11 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer context.AfterFunc(g.stopping, func() { cancel(errStopping) })()
-	r := &request{Call: c, reply: reply, catalog: g.catalogs.now()}
-	for _, filter := range []func(context.Context, *request) *refusal.Error{g.checkLoad, g.findRoute, g.findTeam, g.checkQuarantine, g.reserveTokens} {
+	r := &request{Call: c, reply: reply, catalog: g.catalogs.now(), receivedAt: g.cfg.Now()}
+	for _, filter := range []func(context.Context, *request) *refusal.Error{g.checkStop, g.checkLink, g.findRoute, g.findTeam, g.checkQuarantine, g.reserveTokens, g.checkLink} {
 		if refused := filter(ctx, r); refused != nil {
 			g.refuse(r, refused)
+			g.budgets.settleCall(r.team, r.heldTokens, 0)
 			return
 		}
 	}
@@ -61,13 +64,19 @@
 	return refusal.New(refusal.Draining, "the process stops").WithRetryAt(now)
 }
 
-// checkLoad refuses calls that might not end before a planned stop or that would wait too long for a full link.
-func (g *Gateway) checkLoad(_ context.Context, r *request) *refusal.Error {
+// checkStop refuses calls that might not end before a planned stop.
+func (g *Gateway) checkStop(_ context.Context, r *request) *refusal.Error {
 	now := g.cfg.Now()
 	if stop := g.stop.Load(); stop != nil && !now.Before(stop.lastCallAt) {
 		return refuseStopping(now)
 	}
-	if g.load.shouldRefuse(now.Sub(r.Arrived)) {
+	return nil
+}
+
+// checkLink refuses calls that would wait too long for a full link. The link may have filled while a call waited for tokens.
+func (g *Gateway) checkLink(_ context.Context, r *request) *refusal.Error {
+	now := g.cfg.Now()
+	if g.load.shouldRefuse(r.receivedAt.Sub(r.Arrived)) {
 		return refusal.New(refusal.Overloaded, "the link of this entry VM is full").WithRetryAt(now.Add(overloadRetryDelay))
 	}
 	return nil
