gateway: a panic in the handler of a call is answered

What callers saw: nothing yet; found by reading. A defect in the handling of one call would close its connection without an answer (LOST).

Cause: only net/http recovered from it, which closes the connection and writes to standard error, where it may block. The tokens of the call stayed held, and the watch of its server ran on.

Evidence: TestPanicLeavesCallUnanswered ends the test's process without the change; the call is answered 502 and its tokens are released with it. Not mended: the server of the attempt counts one call too many until it is removed.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"io"
+	"runtime/debug"
 	"time"
 
 	"ibiswinch/core/call"
@@ -12,6 +14,7 @@
 	"ibiswinch/core/placement"
 	"ibiswinch/core/refusal"
 	"ibiswinch/core/rollout"
+	"ibiswinch/io/apexlog"
 )
 
 const (
@@ -122,6 +125,18 @@
 	}
 }
 
+// end settles and logs the call. A panic in its handler is answered like the failure of a server, since the call may have run.
+func (x *exchange) end() {
+	if v := recover(); v != nil {
+		x.g.cfg.Events.Event(event.HandlerPanicked, apexlog.Fields{"request": x.ID, "error": fmt.Sprint(v), "stack": string(debug.Stack())})
+		x.runs = max(x.runs, x.attempts)
+		x.headSent = x.headSent || x.answerSent
+		x.fail(refusal.New(refusal.ServerFailed, "the entry VM failed"))
+	}
+	x.g.budgets.settleCall(x.team, x.heldTokens, x.usedTokens())
+	x.logEnd()
+}
+
 // recordAttempt counts an attempt and tells the controllers what came of it.
 func (x *exchange) recordAttempt(p placement.Placement, result attemptResult) {
 	x.g.servers.release(p, result.outcome)
@@ -156,6 +171,7 @@
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := x.startWatchdog(ctx, *p, cancel)
+	defer w.stop()
 	result := x.exchangeOnce(ctx, attemptCtx, p, w)
 	return result, w.stop()
 }
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -161,3 +161,16 @@
 	f.c.Assert(r.aborted, qt.IsTrue)
 	f.c.Assert(f.gateway.Dump().Budgets[0].Held, qt.Equals, int64(0))
 }
+
+// TestPanicLeavesCallUnanswered guards against a defect in the handling of one call that closes its connection without an answer
+// and keeps its tokens for good.
+func TestPanicLeavesCallUnanswered(t *testing.T) {
+	f := newFixtureWith(t, func(cfg *Config) {
+		cfg.Backend = backendFunc(func() (Answer, error) { panic("defect") })
+	})
+	r := f.post("/order/1")
+	f.c.Assert(r.refused, qt.Not(qt.IsNil))
+	f.c.Assert(r.refused.Reason, qt.Equals, refusal.ServerFailed)
+	f.c.Assert(r.refused.Execution, qt.Equals, refusal.Unknown)
+	f.c.Assert(f.gateway.Dump().Budgets[0].Held, qt.Equals, int64(0))
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -52,9 +52,8 @@
 		}
 	}
 	x := &exchange{g: g, request: r, service: r.route.ChooseService(g.servers.random())}
+	defer x.end()
 	x.run(ctx)
-	g.budgets.settleCall(r.team, r.heldTokens, x.usedTokens())
-	x.logEnd()
 }
 
 // errStopping is the cause with which a call is cancelled when the process is about to exit.
