demo: the state dump of a replacement doesn't count for the process that was killed

Cause: the check, not an entry VM: activateNewest only raises the version. The monitor asks a process for its dump; the process is killed meanwhile, its replacement listens on the same address and answers. Its configuration, none yet, was compared with that of the killed process.

Fix: a dump counts only for the process that its author names. Reverts of one process count as before.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -43,6 +43,7 @@
 type vmProcess struct {
 	name, domain string
 	slot         int
+	author       record.Author
 	// callerURL and operatorURL are base URLs.
 	callerURL, operatorURL string
 	peerAddress            netip.AddrPort
@@ -94,7 +95,10 @@
 // start starts a process. previous is the process that it replaces, whose addresses it takes over if they are free, or
 // nil.
 func (f *fleet) start(name, domain string, slot, incarnation int, previous *vmProcess) (*vmProcess, error) {
-	v := &vmProcess{name: name, domain: domain, slot: slot, ended: make(chan struct{}), link: f.network.link(domain)}
+	v := &vmProcess{
+		name: name, domain: domain, slot: slot, author: record.Author{VM: name, Incarnation: fmt.Sprintf("%s-life-%d", name, incarnation)},
+		ended: make(chan struct{}), link: f.network.link(domain),
+	}
 	listeners, err := v.listen(previous)
 	if err != nil {
 		return nil, err
@@ -106,8 +110,7 @@
 		return nil, err
 	}
 	v.vm, err = entry.New(entry.Config{
-		Author:  record.Author{VM: name, Incarnation: fmt.Sprintf("%s-life-%d", name, incarnation)},
-		Started: time.Now(), Domain: domain, Slot: slot, PeerAddr: v.peerAddress, PeerToken: peerToken, OperatorToken: operatorToken,
+		Author: v.author, Started: time.Now(), Domain: domain, Slot: slot, PeerAddr: v.peerAddress, PeerToken: peerToken, OperatorToken: operatorToken,
 		DialPeer: v.link.dial, Platform: &platformLink{link: v.link, client: v.client}, Now: time.Now, Events: events,
 		MaxHeldBytes: maxHeldBytes, MaxStreams: maxStreams, SnapshotEntries: snapshotEntries, ListInterval: listInterval,
 		DrainTimeout: drainTimeout,
@@ -257,13 +260,16 @@
 
 // dump is the part of the state dump of an entry VM that the result needs.
 type dump struct {
-	ConfigVersion uint64 `json:"configVersion"`
-	PeakHeldBytes int64  `json:"peakHeldBytes"`
+	Author        record.Author `json:"author"`
+	ConfigVersion uint64        `json:"configVersion"`
+	PeakHeldBytes int64         `json:"peakHeldBytes"`
 }
 
+// readDump reads the state dump of a process. If the process is killed meanwhile, that of its replacement may come from the
+// same address; it says nothing about v.
 func (f *fleet) readDump(ctx context.Context, v *vmProcess) {
 	var d dump
-	if f.getJSON(ctx, v.operatorURL+"/dump", &d) != nil {
+	if f.getJSON(ctx, v.operatorURL+"/dump", &d) != nil || d.Author != v.author {
 		return
 	}
 	f.mu.Lock()
