cmd/ibiswinch: tests of the platform's entry VM take a loopback address that is free

What was seen: TestStopEndsRequestWithoutAnswer and TestStoppedProcessTakesConnections of ./cmd/ibiswinch fail with "listen at 127.201.0.1:7200: address already in use" in the second pass of -test.count 2.

Cause: the tests named fixed addresses, and an entry VM's listeners for peers, readiness and metrics end with its process only.

Fix: each test takes the next loopback address at which all four ports are free, beginning at one that depends on the process id.

The checks of the tests are unchanged.

--- a/cmd/ibiswinch/platform_test.go
+++ b/cmd/ibiswinch/platform_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -34,8 +35,41 @@
 
 const testGracePeriod = 4 * time.Second
 
-func startPlatform(t *testing.T, ip string) *platformFixture {
+// platformPorts are the ports at which an entry VM listens.
+var platformPorts = []int{7200, 8740, 8749, metricsPort}
+
+// loopbackCount is the number of loopback addresses for entry VMs with fixed ports, nextLoopback the number of the last one
+// taken. Tests that run at the same time begin at different ones.
+const loopbackCount = 200 * 254
+
+var nextLoopback = os.Getpid() % loopbackCount
+
+// freeLoopback returns a loopback address at which nothing listens on platformPorts. An entry VM of an earlier test may
+// listen until the process of the tests ends.
+func freeLoopback(c *qt.C) string {
+	for range loopbackCount {
+		nextLoopback = (nextLoopback + 1) % loopbackCount
+		ip := fmt.Sprintf("127.201.%d.%d", nextLoopback/254, 1+nextLoopback%254)
+		if !slices.ContainsFunc(platformPorts, func(port int) bool { return !canListen(ip, port) }) {
+			return ip
+		}
+	}
+	c.Fatal("no free loopback address")
+	return ""
+}
+
+func canListen(ip string, port int) bool {
+	l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port))
+	if err != nil {
+		return false
+	}
+	_ = l.Close()
+	return true
+}
+
+func startPlatform(t *testing.T) *platformFixture {
 	c := qt.New(t)
+	ip := freeLoopback(c)
 	f := &platformFixture{c: c, store: keyedlog.New(), front: ip + ":8740", hang: make(chan struct{}), began: make(chan string, 100)}
 	store := httptest.NewServer(f.store)
 	c.Cleanup(store.Close)
@@ -142,7 +176,7 @@
 // TestStopEndsRequestWithoutAnswer guards against a planned stop that closes the connection of a request that it had
 // taken and given up.
 func TestStopEndsRequestWithoutAnswer(t *testing.T) {
-	f := startPlatform(t, "127.201.0.1")
+	f := startPlatform(t)
 	answer := make(chan string, 1)
 	go func() {
 		line, err := f.send("order-1")
@@ -162,7 +196,7 @@
 
 // TestStoppedProcessTakesConnections guards against requests that are read just before the process exits.
 func TestStoppedProcessTakesConnections(t *testing.T) {
-	f := startPlatform(t, "127.201.0.2")
+	f := startPlatform(t)
 	f.process.drain(f.callers)
 	_, err := net.DialTimeout("tcp4", f.front, time.Second)
 	f.c.Assert(err, qt.ErrorMatches, ".*connection refused")
