--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -142,25 +142,47 @@
 			p.events.Event(event.HandlerPanicked, apexlog.Fields{"error": err.Error()})
 		}
 	})
-	wg.Go(func() { p.watch(ctx) })
-	// A signal that comes once calls are accepted must not end the process at once.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	// A signal that comes once calls are accepted must not end the process at once. Each kind has a channel of its own: a full
+	// one loses signals.
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reloads, syscall.SIGHUP)
+	wg.Go(func() { p.watch(ctx, reloads) })
 	callerServer, err := p.startServers()
 	if err != nil {
 		return err
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
-		}
-		p.reload()
-	}
-	p.drain(callerServer)
-	stop()
-	wg.Wait()
+	<-stops
+	times := newDrainTimes(time.Now(), p.gracePeriod())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.drain(callerServer, times)
+		stop()
+		wg.Wait()
+	}()
+	awaitUntil(times.exitAt, ended)
 	p.events.Event(event.ProcessStopped, apexlog.Fields{"open": p.openConnections.Load()})
-	return p.logOutput.Close(time.Second)
+	// If the output is blocked, an error could not be reported either.
+	_ = p.logOutput.Close(times.exitAt)
+	return nil
+}
+
+// awaitUntil waits for done to be closed, until the given time at most.
+func awaitUntil(until time.Time, done <-chan struct{}) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+// gracePeriod is the grace period of the last valid settings.
+func (p *platformProcess) gracePeriod() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.settings.GracePeriod
 }
 
 // startServers opens the listeners and serves them. It returns the server of the callers.
@@ -220,8 +242,9 @@
 	}
 }
 
-// watch reloads changed settings and logs the number of dropped log lines, every watchInterval.
-func (p *platformProcess) watch(ctx context.Context) {
+// watch reloads the settings at each signal, and every watchInterval if the file has changed. It logs the number of dropped log
+// lines.
+func (p *platformProcess) watch(ctx context.Context, reloads <-chan os.Signal) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	last, _ := os.ReadFile(p.settingsPath)
@@ -230,6 +253,9 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-reloads:
+			p.reload()
+			continue
 		case <-ticker.C:
 		}
 		if current, err := os.ReadFile(p.settingsPath); err == nil && !bytes.Equal(current, last) {
--- a/cmd/ibiswinch/platform_test.go
+++ b/cmd/ibiswinch/platform_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,10 @@
 	process *platformProcess
 	callers *http.Server
 	front   string
+	// readiness is the address of the readiness endpoint, peer that of the calls of other entry VMs.
+	readiness, peer string
+	// settingsPath is the settings file of the entry VM.
+	settingsPath string
 	// hang is closed to let the backend server answer; began gets the id of each request that reaches it.
 	hang  chan struct{}
 	began chan string
@@ -42,14 +47,16 @@
 // taken. Tests that run at the same time begin at different ones.
 const loopbackCount = 200 * 254
 
-var nextLoopback = os.Getpid() % loopbackCount
+var nextLoopback atomic.Int64
+
+func init() { nextLoopback.Store(int64(os.Getpid())) }
 
 // freeLoopback returns a loopback address at which nothing listens on platformPorts. An entry VM of an earlier test may
 // listen until the process of the tests ends.
 func freeLoopback(c *qt.C) string {
 	for range loopbackCount {
-		nextLoopback = (nextLoopback + 1) % loopbackCount
-		ip := fmt.Sprintf("127.201.%d.%d", nextLoopback/254, 1+nextLoopback%254)
+		n := nextLoopback.Add(1) % loopbackCount
+		ip := fmt.Sprintf("127.201.%d.%d", n/254, 1+n%254)
 		if !slices.ContainsFunc(platformPorts, func(port int) bool { return !canListen(ip, port) }) {
 			return ip
 		}
@@ -67,19 +74,26 @@
 	return true
 }
 
+// startPlatform starts the entry VM in the process of the test.
 func startPlatform(t *testing.T) *platformFixture {
+	f := newPlatformFixture(t)
+	f.start(f.settingsPath)
+	return f
+}
+
+// newPlatformFixture starts everything but the entry VM.
+func newPlatformFixture(t *testing.T) *platformFixture {
 	c := qt.New(t)
 	ip := freeLoopback(c)
-	f := &platformFixture{c: c, store: keyedlog.New(), front: ip + ":8740", hang: make(chan struct{}), began: make(chan string, 100)}
+	f := &platformFixture{c: c, store: keyedlog.New(), front: ip + ":8740", readiness: ip + ":8749", peer: ip + ":7200", hang: make(chan struct{}), began: make(chan string, 100)}
 	store := httptest.NewServer(f.store)
 	c.Cleanup(store.Close)
 	backend := httptest.NewServer(http.HandlerFunc(f.serveBackend))
 	c.Cleanup(backend.Close)
 	c.Cleanup(func() { close(f.hang) })
 	f.publish(backend.Listener.Addr().String())
-	path := filepath.Join(t.TempDir(), "settings.toml")
-	c.Assert(os.WriteFile(path, []byte(platformSettings(ip, store.Listener.Addr().String())), 0o600), qt.IsNil)
-	f.start(path)
+	f.settingsPath = filepath.Join(t.TempDir(), "settings.toml")
+	c.Assert(os.WriteFile(f.settingsPath, []byte(platformSettings(ip, store.Listener.Addr().String())), 0o600), qt.IsNil)
 	return f
 }
 
@@ -114,6 +128,7 @@
 			"name": "order", "host": "a.example", "path_prefix": "/order/", "kind": "unsafe", "timeout_ms": 20000,
 			"target_latency_ms": 500, "service": "s", "attempts": 1,
 		}},
+		"tenants":  []map[string]any{{"name": "team-1", "api_keys": []string{"key-1"}, "prepaid": 1_000_000}},
 		"services": []map[string]any{{"name": "s", "health_path": "/health", "connection_limit": 100}},
 	})
 	f.c.Assert(err, qt.IsNil)
@@ -166,7 +181,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
-	if _, err = fmt.Fprintf(conn, "POST /order/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\nDeadline-Milliseconds: 20000\r\nContent-Length: 2\r\n\r\nok", id); err != nil {
+	if _, err = fmt.Fprintf(conn, "POST /order/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\nAuthorization: Bearer key-1\r\nToken-Counts: 100,100\r\nDeadline-Milliseconds: 20000\r\nContent-Length: 2\r\n\r\nok", id); err != nil {
 		return "", err
 	}
 	line, err := bufio.NewReader(conn).ReadString('\n')
@@ -184,7 +199,7 @@
 	}()
 	<-f.began
 	start := time.Now()
-	f.process.drain(f.callers)
+	f.process.drain(f.callers, newDrainTimes(time.Now(), testGracePeriod))
 	f.c.Check(time.Since(start) < testGracePeriod, qt.IsTrue)
 	select {
 	case line := <-answer:
@@ -197,7 +212,7 @@
 // TestStoppedProcessTakesConnections guards against requests that are read just before the process exits.
 func TestStoppedProcessTakesConnections(t *testing.T) {
 	f := startPlatform(t)
-	f.process.drain(f.callers)
+	f.process.drain(f.callers, newDrainTimes(time.Now(), testGracePeriod))
 	_, err := net.DialTimeout("tcp4", f.front, time.Second)
 	f.c.Assert(err, qt.ErrorMatches, ".*connection refused")
 }
--- a/gateway/putback.go
+++ b/gateway/putback.go
@@ -21,16 +21,21 @@
 	// fleet; putBackIntervalPerVM times the number of entry VMs is the least one.
 	putBackInterval      = 100 * time.Millisecond
 	putBackIntervalPerVM = 2 * time.Millisecond
+	// putBackReadInterval is the time between two reads of what others put back, in a small fleet; putBackReadIntervalPerVM
+	// times the number of entry VMs is the least one.
+	putBackReadInterval      = 300 * time.Millisecond
+	putBackReadIntervalPerVM = 20 * time.Millisecond
 	// maxPutBackRecords bounds the records of one append, so that it stays far below the store's limit of 2 MB.
 	maxPutBackRecords = 2000
 )
 
-// beginEra prepares for the first snapshot of an era. A process that has read no earlier era has nothing to put back.
+// beginEra prepares for the first snapshot of an era. A process that has read no earlier era has nothing to put back, and one
+// that hadn't learned of all entry VMs there doesn't know whom to wait for.
 func (lp *ledgerPartition) beginEra(now time.Time, restored bool) {
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
 	era := uint64(lp.follow.era)
-	lp.remembersEra = restored && lp.lastSettledEra != nil
+	lp.remembersEra = restored && lp.lastSettledEra != nil && lp.budgets.fleet.knewMembersBefore(lp.follow.era)
 	lp.putBack.Begin(now, era)
 	lp.mayReserve, lp.restoreAnnounced, lp.eraRead = false, false, false
 	for _, a := range lp.accounts {
@@ -103,15 +108,13 @@
 	}
 	others := 0
 	if own == 0 {
-		if others, err = lp.restateOthers(ctx); err != nil {
+		others, err = lp.restateOthers(ctx, lp.putBack.Stale)
+		var conflict *keyed.ConflictError
+		if err != nil && !errors.As(err, &conflict) {
 			return false, err
 		}
 	}
-	if own+others > 0 {
-		lp.budgets.cfg.Events.Event(event.ReservationsPutBack, apexlog.Fields{
-			"partition": lp.follow.partition.Number, "era": lp.follow.era, "own": own, "others": others,
-		})
-	}
+	lp.logPutBack(own, others)
 	return lp.decideReserving(), nil
 }
 
@@ -158,11 +161,13 @@
 	return true
 }
 
-// waitsForOthers reports whether this entry VM has put back what it knows and others haven't yet, so that there is nothing
-// to read.
+// waitsForOthers reports whether this entry VM has put back what it knows, others haven't yet, and it has read lately what
+// they have put back. The records of holders that are gone must not stay the knowledge of one process.
 func (lp *ledgerPartition) waitsForOthers() bool {
+	interval := max(putBackReadInterval, time.Duration(lp.budgets.fleet.count())*putBackReadIntervalPerVM)
 	lp.mu.Lock()
-	waiting := !lp.mayReserve && lp.isRestored() && lp.putBack.Waited(lp.budgets.cfg.Now()) < escrow.PutBackTimeout
+	now := lp.budgets.cfg.Now()
+	waiting := !lp.mayReserve && lp.isRestored() && lp.putBack.Waited(now) < escrow.PutBackTimeout && now.Sub(lp.lastRenewal) < interval
 	era, remembers := keyed.Era(lp.putBack.Era()), lp.remembersEra
 	lp.mu.Unlock()
 	return waiting && !lp.eraChanged.Load() && !lp.budgets.fleet.haveRestored(era, remembers)
@@ -210,19 +215,15 @@
 	return plans
 }
 
-// restateOthers writes the known records that are newer than those of the log, on the condition that nobody has written
+// restateOthers writes the known records of the first keys that choose returns, on the condition that nobody has written
 // since the partition was read. It returns their number.
-func (lp *ledgerPartition) restateOthers(ctx context.Context) (int, error) {
-	records, err := lp.staleRecords()
+func (lp *ledgerPartition) restateOthers(ctx context.Context, choose func(now time.Time) []string) (int, error) {
+	records, err := lp.knownRecords(choose)
 	if err != nil || len(records) == 0 {
 		return 0, err
 	}
 	expected := lp.follow.next
 	appended, err := lp.appendRecords(ctx, records, &expected)
-	var conflict *keyed.ConflictError
-	if errors.As(err, &conflict) {
-		return 0, nil
-	}
 	if err != nil {
 		return 0, err
 	}
@@ -235,12 +236,36 @@
 	return len(records), nil
 }
 
-// staleRecords returns the first known records that are newer than those of the log and that their holders haven't
-// written again in time.
-func (lp *ledgerPartition) staleRecords() ([]keyed.Record, error) {
+// restateMissing writes all known records that are newer than those of the log, for a process that stops. The partition has
+// just been read.
+func (lp *ledgerPartition) restateMissing(ctx context.Context) error {
+	missing := func(time.Time) []string { return lp.putBack.Missing() }
+	total := 0
+	for {
+		n, err := lp.restateOthers(ctx, missing)
+		total += n
+		if n == 0 || err != nil {
+			lp.logPutBack(0, total)
+			return err
+		}
+	}
+}
+
+// logPutBack logs the numbers of records that were written again.
+func (lp *ledgerPartition) logPutBack(own, others int) {
+	if own+others == 0 {
+		return
+	}
+	lp.budgets.cfg.Events.Event(event.ReservationsPutBack, apexlog.Fields{
+		"partition": lp.follow.partition.Number, "era": lp.follow.era, "own": own, "others": others,
+	})
+}
+
+// knownRecords returns the known records of the first keys that choose returns.
+func (lp *ledgerPartition) knownRecords(choose func(now time.Time) []string) ([]keyed.Record, error) {
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
-	keys := lp.putBack.Stale(lp.budgets.cfg.Now())
+	keys := choose(lp.budgets.cfg.Now())
 	var records []keyed.Record
 	for _, key := range keys[:min(len(keys), maxPutBackRecords)] {
 		team, holder, _ := strings.Cut(key, "/")
