--- a/cmd/ibiswinch/platform_test.go
+++ b/cmd/ibiswinch/platform_test.go
@@ -10,7 +10,9 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,16 +40,51 @@
 
 const testGracePeriod = 4 * time.Second
 
+// platformPorts are the ports at which an entry VM listens.
+var platformPorts = []int{7200, 8740, 8749, metricsPort}
+
+// loopbackCount is the number of loopback addresses for entry VMs with fixed ports, nextLoopback the number of the last one
+// taken. Tests that run at the same time begin at different ones.
+const loopbackCount = 200 * 254
+
+var nextLoopback atomic.Int64
+
+func init() { nextLoopback.Store(int64(os.Getpid())) }
+
+// freeLoopback returns a loopback address at which nothing listens on platformPorts. An entry VM of an earlier test may
+// listen until the process of the tests ends.
+func freeLoopback(c *qt.C) string {
+	for range loopbackCount {
+		n := nextLoopback.Add(1) % loopbackCount
+		ip := fmt.Sprintf("127.201.%d.%d", n/254, 1+n%254)
+		if !slices.ContainsFunc(platformPorts, func(port int) bool { return !canListen(ip, port) }) {
+			return ip
+		}
+	}
+	c.Fatal("no free loopback address")
+	return ""
+}
+
+func canListen(ip string, port int) bool {
+	l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port))
+	if err != nil {
+		return false
+	}
+	_ = l.Close()
+	return true
+}
+
 // startPlatform starts the entry VM in the process of the test.
-func startPlatform(t *testing.T, ip string) *platformFixture {
-	f := newPlatformFixture(t, ip)
+func startPlatform(t *testing.T) *platformFixture {
+	f := newPlatformFixture(t)
 	f.start(f.settingsPath)
 	return f
 }
 
 // newPlatformFixture starts everything but the entry VM.
-func newPlatformFixture(t *testing.T, ip string) *platformFixture {
+func newPlatformFixture(t *testing.T) *platformFixture {
 	c := qt.New(t)
+	ip := freeLoopback(c)
 	f := &platformFixture{c: c, store: keyedlog.New(), front: ip + ":8740", readiness: ip + ":8749", peer: ip + ":7200", hang: make(chan struct{}), began: make(chan string, 100)}
 	store := httptest.NewServer(f.store)
 	c.Cleanup(store.Close)
@@ -154,7 +191,7 @@
 // TestStopEndsRequestWithoutAnswer guards against a planned stop that closes the connection of a request that it had
 // taken and given up.
 func TestStopEndsRequestWithoutAnswer(t *testing.T) {
-	f := startPlatform(t, "127.201.0.1")
+	f := startPlatform(t)
 	answer := make(chan string, 1)
 	go func() {
 		line, err := f.send("order-1")
@@ -174,7 +211,7 @@
 
 // TestStoppedProcessTakesConnections guards against requests that are read just before the process exits.
 func TestStoppedProcessTakesConnections(t *testing.T) {
-	f := startPlatform(t, "127.201.0.2")
+	f := startPlatform(t)
 	f.process.drain(f.callers, newDrainTimes(time.Now(), testGracePeriod))
 	_, err := net.DialTimeout("tcp4", f.front, time.Second)
 	f.c.Assert(err, qt.ErrorMatches, ".*connection refused")
--- a/cmd/ibiswinch/stop_test.go
+++ b/cmd/ibiswinch/stop_test.go
@@ -34,7 +34,7 @@
 	binary := filepath.Join(t.TempDir(), "ibiswinch")
 	out, err := exec.Command("go", "build", "-o", binary, "ibiswinch/cmd/ibiswinch").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
-	for i, test := range []struct {
+	for _, test := range []struct {
 		name          string
 		storeFault    keyedlog.Fault
 		outputBlocked bool
@@ -52,7 +52,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			f := newPlatformFixture(t, fmt.Sprintf("127.201.1.%d", i+1))
+			f := newPlatformFixture(t)
 			p := f.startProcess(binary, test.outputBlocked)
 			f.openRequest()
 			f.store.SetTimings(keyedlog.Timings{Silence: 800 * time.Millisecond})
