gateway: a retry that reached no server is there for the next attempt

What callers saw: a stream broken off midway, or 502 for a call that may be repeated, although its first server was sound and other servers had room.

Cause: a server that is silent for 0.8 s is given up once a retry is counted and a successor is placed. If the successor was unreachable, a second retry was counted for the attempt after it, and without one the call ended (retryDenied=retryBudget). The limit is on arrivals at servers; the retry for the unreachable successor had bought none.

Fix: a call counts its retries. Another attempt takes one only if fewer were taken than requests of the call have arrived beyond the first.

Evidence: TestUnreachableSuccessorEndsCall fails before (the stream ends after its first event, with two attempts) and passes; the tests of ./gateway pass with -race. TestRetryIsCountedForEachArrival holds the limit: it passes before and after.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -34,9 +34,10 @@
 	*request
 	service string
 
-	// attempts counts all attempts, arrivals those that reached a server, and runs those that may have run.
-	attempts, arrivals, runs int
-	excluded                 []string
+	// attempts counts all attempts, arrivals those that reached a server, and runs those that may have run. retries counts the
+	// retries taken from the limit, one for each arrival after the first.
+	attempts, arrivals, runs, retries int
+	excluded                          []string
 	// headSent is set when the head of a stream was forwarded, answerSent when any successful answer was.
 	headSent, answerSent bool
 	// forwarded follows the events that the caller has.
@@ -318,12 +319,25 @@
 		return retryNotRepeatable
 	case x.headSent && !x.isResumable(x.forwarded.last):
 		return retryNotResumable
-	case !placed && x.arrivals > 0 && !x.g.servers.takeRetry(x.service):
+	case !placed && !x.mayArriveAfter(x.arrivals):
 		return retryNoBudget
 	}
 	return retryAllowed
 }
 
+// mayArriveAfter reports whether the call may arrive at a server once more after the given number of arrivals. Beyond the first it
+// takes a retry, unless one is left from an attempt that reached no server.
+func (x *exchange) mayArriveAfter(arrivals int) bool {
+	if x.retries >= arrivals {
+		return true
+	}
+	if !x.g.servers.takeRetry(x.service) {
+		return false
+	}
+	x.retries++
+	return true
+}
+
 // isResumable reports whether another server can go on with the stream after the event with the given id.
 func (x *exchange) isResumable(lastEvent string) bool {
 	return x.route.Kind == call.Stream && lastEvent != ""
--- a/gateway/silent_test.go
+++ b/gateway/silent_test.go
@@ -53,14 +53,19 @@
 	mu        sync.Mutex
 	pause     time.Duration
 	onlyFirst bool
-	attempts  []Attempt
-	paused    atomic.Int32
+	// unreachable is the number of the attempt that reaches no server, from 1.
+	unreachable int
+	attempts    []Attempt
+	paused      atomic.Int32
 }
 
 func (b *silentBackend) Send(ctx context.Context, a Attempt) (Answer, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.attempts = append(b.attempts, a)
+	if len(b.attempts) == b.unreachable {
+		return nil, unreachable.err
+	}
 	answer := &slowAnswer{fakeAnswer: fakeAnswer{status: 200}, ctx: ctx, paused: &b.paused}
 	if !b.onlyFirst || len(b.attempts) == 1 {
 		answer.pause, answer.pauseEvent = b.pause, 1
@@ -134,6 +139,27 @@
 	f.c.Assert(b.attempts[1].LastEventID, qt.Equals, "1")
 }
 
+// TestUnreachableSuccessorEndsCall guards against calls that end because the server that takes over from a silent one is
+// unreachable: no server got the retry that was counted for it, so it is there for the next one.
+func TestUnreachableSuccessorEndsCall(t *testing.T) {
+	for path, want := range map[string]string{"/chat/1": "id:1\n\nid:2\n\nid:3\n\n", "/read/1": "read"} {
+		b := &silentBackend{pause: 10 * time.Second, onlyFirst: true, unreachable: 2}
+		// The limit is 70 percent of 2, one retry.
+		f := newSilentFixture(t, b, 2, 3)
+		r := f.post(path)
+		f.c.Check(r.body, qt.Equals, want, qt.Commentf(path))
+		f.c.Check(b.attempts, qt.HasLen, 3, qt.Commentf(path))
+	}
+}
+
+// TestRetryIsCountedForEachArrival guards against more arrivals than the retry limit allows.
+func TestRetryIsCountedForEachArrival(t *testing.T) {
+	f := newFixtureWith(t, func(cfg *Config) { cfg.Retries.Ratio, cfg.Retries.Extra = 0, 2 }, rejected, unreachable, rejected, answered("fourth"))
+	r := f.post("/read/1")
+	f.c.Assert(r.refused, qt.IsNotNil)
+	f.c.Assert(f.backend.attempts, qt.HasLen, 3)
+}
+
 // TestStopLeavesOpenCallsUnanswered guards against a stopping process that exits without an answer to its open calls, and
 // against an answer that says that a call which may have run did not run.
 func TestStopLeavesOpenCallsUnanswered(t *testing.T) {
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -103,7 +103,8 @@
 	if !ok {
 		return p, false
 	}
-	if !x.g.servers.takeRetry(x.service) {
+	// The silent attempt counts as arrived.
+	if !x.mayArriveAfter(x.arrivals + 1) {
 		x.g.servers.release(p, placement.Cancelled)
 		return p, false
 	}
