core/crash: crashes within 50 ms count as one outage

Cause: a broken stream is sent again within a millisecond, to servers that crashed in the same moment but whose broken connections weren't read yet. These attempts were sent after the crash noticed before, so three crashes of one moment counted as successive ones; reports of several entry VMs add to that.

Fix: a crash counts as a further one only if 50 ms have passed since the one counted before.

--- a/core/crash/evidence.go
+++ b/core/crash/evidence.go
@@ -16,6 +16,9 @@
 const (
 	// crashLimit is the number of successive crashes after which requests with a subject are refused.
 	crashLimit = 3
+	// outageTime is the time within which crashes count as one outage. A request that is sent again right after a crash may
+	// reach a server whose crash at the same time isn't known yet.
+	outageTime = 50 * time.Millisecond
 	// quarantineTime is how long they are refused. It doubles with each further crash, maxDoublings times at most.
 	quarantineTime = time.Minute
 	maxDoublings   = 4
@@ -230,7 +233,7 @@
 	})
 	var counted time.Time
 	for _, in := range intervals {
-		if n == 0 || !in.sentAt.Before(counted) {
+		if n == 0 || !in.sentAt.Before(counted) && in.crashedAt.Sub(counted) >= outageTime {
 			n++
 			counted = in.crashedAt
 		}
--- a/core/crash/evidence_test.go
+++ b/core/crash/evidence_test.go
@@ -64,6 +64,34 @@
 	c.Assert(refuses(e, document), qt.IsFalse)
 }
 
+// TestRepeatsDuringOutageBlameNobody guards against refusing what was sent again, right after its server had crashed, to servers
+// that had crashed at the same time: their connections broke a few milliseconds later.
+func TestRepeatsDuringOutageBlameNobody(t *testing.T) {
+	c := qt.New(t)
+	e := crash.NewEvidence()
+	crashedAt := 1.0
+	for i := range 4 {
+		sentAt := crashedAt + 0.001
+		crashedAt = sentAt + 0.004
+		e.Add(report(document, i, sentAt, crashedAt))
+	}
+	c.Assert(refuses(e, document), qt.IsFalse)
+}
+
+// TestRepeatsThatCrashAreRefused guards against a quarantine that misses a request that is sent again at once and crashes each server
+// as soon as it has read its prompt.
+func TestRepeatsThatCrashAreRefused(t *testing.T) {
+	c := qt.New(t)
+	e := crash.NewEvidence()
+	crashedAt := 1.0
+	for i := range 3 {
+		sentAt := crashedAt + 0.001
+		crashedAt = sentAt + 0.07
+		e.Add(report(deadly, i, sentAt, crashedAt))
+	}
+	c.Assert(refuses(e, deadly), qt.IsTrue)
+}
+
 // TestSoundSessionIsRefusedWithDeadlyPart guards against refusing requests without the cause because they share another
 // part with all requests that had it, and against sending the cause in other company.
 func TestSoundSessionIsRefusedWithDeadlyPart(t *testing.T) {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -229,6 +229,8 @@
 type sendResult struct {
 	err    error
 	answer *fakeAnswer
+	// delay is the time until the result.
+	delay time.Duration
 }
 
 type fakeAnswer struct {
@@ -299,6 +301,7 @@
 	}
 	t := b.results[0]
 	b.results = b.results[1:]
+	time.Sleep(t.delay)
 	if t.err != nil {
 		return nil, t.err
 	}
