rollout: an older order that a restored log lists is no longer followed

Operators and callers saw: the store comes back from a copy that lists an order for v1, while the newer one for v2 was under way or taken back. The older order was followed: it replaced the open change, or opened one whose old version was the bad v2 (196 of 200 calls went to it). When the operator had written the order for v2 again, it ran a second time, and the operator read "running" for a version that had been rolled back.

Cause: an order was news if its position was newer than the last one's, which every position in a new era is, and only the last order was compared for repeats.

Fix: rollout.Orders decides, for both paths, which orders are new. In an era in which records may be lost, orders of earlier eras are ignored until the last one was read again; what follows is new. An order that the process doesn't know, within 10 s of the begin of the era, may be an older one that it never read: it is held back for up to 3 s and dropped if the last known one comes, and it opens no change to the target of a known earlier change. An order whose change was not known when the order was read doesn't run again either. Windows are measured on the monotonic clock of the process, so that a jump of the time of day can't stretch them.

The log in memory of the tests now starts in the first era, as the store does; it started in era 0, so that its restorations led to what counts as the first era.

--- a/gateway/catalog.go
+++ b/gateway/catalog.go
@@ -8,6 +8,7 @@
 	"ibiswinch/core/catalog"
 	"ibiswinch/core/event"
 	"ibiswinch/core/keyed"
+	"ibiswinch/core/rollout"
 	"ibiswinch/io/apexlog"
 )
 
@@ -22,11 +23,13 @@
 	changed func()
 	// ordered is called with each order of a roll-out and its version.
 	ordered func(o catalog.Rollout, version uint64)
-	follow  follower
+	// eraBegan is called before the first order of each era.
+	eraBegan func(era keyed.Era)
+	follow   follower
 }
 
 func newCatalogController(cfg Config) *catalogController {
-	c := &catalogController{cfg: cfg, changed: func() {}, ordered: func(catalog.Rollout, uint64) {}}
+	c := &catalogController{cfg: cfg, changed: func() {}, ordered: func(catalog.Rollout, uint64) {}, eraBegan: func(keyed.Era) {}}
 	c.follow = follower{
 		cfg: cfg, partition: keyed.Partition{Stream: keyed.Operations}, apply: c.apply,
 		wait: func() time.Duration { return configReadWait },
@@ -35,6 +38,7 @@
 				c.apply(r)
 			}
 		},
+		onEra: func(time.Time, bool) { c.eraBegan(c.follow.era) },
 	}
 	return c
 }
@@ -56,7 +60,7 @@
 	case *catalog.Catalog:
 		c.replace(o, r.Offset)
 	case *catalog.Rollout:
-		c.ordered(*o, orderVersion(c.follow.era, r.Offset))
+		c.ordered(*o, rollout.OrderVersion(c.follow.era, r.Offset))
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -217,7 +217,10 @@
 	g.load = newLoadController(cfg)
 	g.budgets = newBudgetController(cfg, g.catalogs, g.fleet)
 	g.catalogs.changed = g.budgets.wakeAll
-	g.catalogs.follow.onEra = func(time.Time, bool) { g.budgets.checkEra() }
+	g.catalogs.eraBegan = func(era keyed.Era) {
+		g.rollouts.beginOrders(era)
+		g.budgets.checkEra()
+	}
 	g.fleet.budgets = g.budgets
 	return g
 }
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -42,7 +42,7 @@
 }
 
 func newMemoryLog() *memoryLog {
-	return &memoryLog{partitions: map[keyed.Partition][]keyed.Record{}, trimmed: map[keyed.Partition]uint64{}, longestWaits: map[keyed.Stream]time.Duration{}, lastFrom: map[keyed.Stream]uint64{}, latestCalls: map[keyed.Stream]int{}}
+	return &memoryLog{era: firstEra, partitions: map[keyed.Partition][]keyed.Record{}, trimmed: map[keyed.Partition]uint64{}, longestWaits: map[keyed.Stream]time.Duration{}, lastFrom: map[keyed.Stream]uint64{}, latestCalls: map[keyed.Stream]int{}}
 }
 
 func (l *memoryLog) setDown(down bool) {
--- a/gateway/rollout_restore.go
+++ b/gateway/rollout_restore.go
@@ -5,20 +5,9 @@
 	"slices"
 	"time"
 
-	"ibiswinch/core/catalog"
 	"ibiswinch/core/keyed"
-	"ibiswinch/core/rollout"
 )
 
-// eraBits is the number of bits of an order's version that hold the offset of its record; the others hold the era.
-const eraBits = 40
-
-// orderVersion returns the version of an order by the position of its record. It rises with each order, also when a log
-// that was restored from a copy gives offsets out again.
-func orderVersion(era keyed.Era, offset uint64) uint64 { return uint64(era)<<eraBits | (offset + 1) }
-
-func eraOfVersion(version uint64) keyed.Era { return keyed.Era(version >> eraBits) }
-
 // stepHistory holds the known steps of version changes in the order of the log, as a restored log may have lost some.
 type stepHistory struct {
 	steps []keyed.Record
@@ -82,14 +71,3 @@
 		}
 	}
 }
-
-// isRepeated reports whether an order repeats the one of the last change: the operator writes its orders again into a
-// restored log.
-func (o order) isRepeated(last rollout.Change) bool {
-	return eraOfVersion(o.version) > eraOfVersion(last.ConfigVersion) && o.Target == last.Rule.New
-}
-
-// repeats reports whether an order was read before, in an earlier era.
-func (o order) repeats(next catalog.Rollout, version uint64) bool {
-	return eraOfVersion(o.version) < eraOfVersion(version) && o.Rollout == next
-}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -1,12 +1,10 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -39,13 +37,6 @@
 // requests at most; the third shows faults that come with load.
 func rolloutStages() []rollout.Share { return []rollout.Share{300, 700, 3000, rollout.FullShare} }
 
-// order is an order of the operator. Its version is higher than that of earlier orders.
-type order struct {
-	catalog.Rollout
-	version  uint64
-	deadline time.Time
-}
-
 // pendingStatus is an outcome to write for the operator at due.
 type pendingStatus struct {
 	change rollout.Change
@@ -65,8 +56,8 @@
 	controller *rollout.Controller
 	changes    *rollout.Changes
 	loaded     bool
-	// orders are those of the operator, by service; newOrders is set until the controller has its rules.
-	orders    map[string]order
+	// orders are those of the operator; newOrders is set until the controller has their rules.
+	orders    *rollout.Orders
 	newOrders bool
 	// pending are steps that the log hasn't confirmed, oldest first. sequence is that of the last one.
 	pending  []keyed.Record
@@ -81,7 +72,7 @@
 func newRolloutController(cfg Config, servers *serverController, fleet *fleetController) *rolloutController {
 	author := record.Author{VM: cfg.Name, Incarnation: cfg.Incarnation}
 	r := &rolloutController{
-		cfg: cfg, servers: servers, fleet: fleet, author: author, changes: rollout.NewChanges(), orders: map[string]order{},
+		cfg: cfg, servers: servers, fleet: fleet, author: author, changes: rollout.NewChanges(), orders: rollout.NewOrders(),
 		// Entry VMs share the servers, so that a server has warmed up before each of them has sent it many requests.
 		controller: rollout.NewController(rollout.Config{Author: author, WarmUpRequests: 1}),
 		running:    map[string]bool{},
@@ -134,46 +125,52 @@
 	return slices.ContainsFunc(r.changes.All(), func(c rollout.Change) bool { return c.State == rollout.StateOpen })
 }
 
+// beginOrders prepares for the first orders of an era. In the first one nothing was lost.
+func (r *rolloutController) beginOrders(era keyed.Era) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if era > firstEra {
+		r.orders.BeginEra(r.cfg.Now())
+	}
+}
+
 // addOrder records an order of the operator.
-func (r *rolloutController) addOrder(o catalog.Rollout, version uint64) {
-	now := r.fleet.timeOfDay()
+func (r *rolloutController) addOrder(in catalog.Rollout, version uint64) {
+	o := rollout.Order{Rollout: in, Version: version, Deadline: r.fleet.timeOfDay().Add(in.Duration)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if old, found := r.orders[o.Service]; found && (old.version >= version || old.repeats(o, version)) {
+	if last, found := r.changes.Latest(in.Service); found {
+		o.Follows = last.ConfigVersion
+	}
+	if !r.orders.Add(r.cfg.Now(), o) {
 		return
 	}
-	r.orders[o.Service] = order{Rollout: o, version: version, deadline: now.Add(o.Duration)}
 	r.newOrders = true
 	r.cfg.Events.Event(event.RolloutOrdered, apexlog.Fields{
-		"service": o.Service, "version": o.Target, "duration": o.Duration.String(), "order": version,
+		"service": in.Service, "version": in.Target, "duration": in.Duration.String(), "order": version, "held": r.orders.IsHolding(),
 	})
 }
 
-// setRules tells the controller the rules of the orders. An order whose change is open has the rule of the change, as the
-// entry VM that opened it set the deadline. The caller holds mu.
+// setRules tells the controller the rules of the orders. The caller holds mu.
 func (r *rolloutController) setRules(now time.Time) {
 	var rules []rollout.Rule
-	for _, o := range slices.SortedFunc(maps.Values(r.orders), func(a, b order) int { return cmp.Compare(a.version, b.version) }) {
-		rule := rollout.Rule{
-			Model: o.Service, Old: r.servers.commonVersion(o.Service, o.Target), New: o.Target, Deadline: o.deadline, Stages: rolloutStages(),
-		}
-		if last, found := r.changes.Latest(o.Service); found && (last.ConfigVersion >= o.version || o.isRepeated(last)) {
-			rule = last.Rule
-		} else if rule.Old == "" {
+	for _, o := range r.orders.Current(r.cfg.Now()) {
+		rule, known := o.Rule(r.changes, r.servers.commonVersion(o.Service, o.Target), rolloutStages())
+		if !known {
 			// No server of another version is known yet.
 			return
 		}
 		rules = append(rules, rule)
-		r.controller.SetRules(now, o.version, rules)
+		r.controller.SetRules(now, o.Version, rules)
 	}
-	r.newOrders = false
+	r.newOrders = r.orders.IsHolding()
 }
 
 func (r *rolloutController) tick() {
 	now := r.fleet.timeOfDay()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.loaded || len(r.orders) == 0 {
+	if !r.loaded {
 		return
 	}
 	if r.newOrders {
