rollout: steps take effect by change and stage, and are kept until they were read back

Operators saw an order that nobody followed: the store had confirmed the opening and lost it before it was read.

Cause: the order of the log was taken for the order of events, and a confirmed step for a kept one. A step that was decided in the outage was written before the lost steps that it follows; a process that reads them later skips it, as its change is unknown. Processes that know different steps write them again in any order. A step is decided once, and its only copy was dropped when the store confirmed it.

Fix: rollout.History holds the known steps, and the state is folded from them by change and stage, so that it doesn't depend on the order in the log. Of done and takeBack the first one that was read still counts; a step that had no effect isn't written again, as it could have one in a restored log that lacks the others. An own step stays queued until it was read back, and after a restoration it is written again, behind the lost steps.

--- a/gateway/rollout_restore.go
+++ b/gateway/rollout_restore.go
@@ -1,58 +1,73 @@
 package gateway
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"ibiswinch/core/keyed"
 )
 
-// stepHistory holds the known steps of version changes in the order of the log, as a restored log may have lost some.
-type stepHistory struct {
-	steps []keyed.Record
-	known map[string]bool
+// pendingStep is a step of this process that wasn't read back from the log.
+type pendingStep struct {
+	keyed.Record
+	// written is set once the log has confirmed it. A log that is restored from a copy may lose it again.
+	written bool
 }
 
-// maxSteps bounds the known steps; a change has some five, and the oldest ones matter least.
-const maxSteps = 512
+// addPending queues a step unless it is queued. The caller holds mu.
+func (r *rolloutController) addPending(step keyed.Record) {
+	if !slices.ContainsFunc(r.pending, func(p pendingStep) bool { return p.Key == step.Key }) {
+		r.pending = append(r.pending, pendingStep{Record: step})
+	}
+}
 
-// add records a step unless one of its key is known: the first counts.
-func (h *stepHistory) add(step keyed.Record) {
-	if h.known[step.Key] {
-		return
+// unwritten returns the queued steps that the log hasn't confirmed. The caller holds mu.
+func (r *rolloutController) unwritten() []keyed.Record {
+	var steps []keyed.Record
+	for _, p := range r.pending {
+		if !p.written {
+			steps = append(steps, p.Record)
+		}
 	}
-	if h.known == nil {
-		h.known = map[string]bool{}
+	return steps
+}
+
+// setWritten marks steps that the log confirmed in an era.
+func (r *rolloutController) setWritten(steps []keyed.Record, era keyed.Era) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if era < r.era {
+		return
 	}
-	h.known[step.Key] = true
-	h.steps = append(h.steps, step)
-	if len(h.steps) > maxSteps {
-		delete(h.known, h.steps[0].Key)
-		h.steps = slices.Delete(h.steps, 0, 1)
+	for i := range r.pending {
+		p := &r.pending[i]
+		p.written = p.written || slices.ContainsFunc(steps, func(s keyed.Record) bool { return s.Key == p.Key })
 	}
 }
 
-// merge adds the steps of a snapshot and returns the known ones that it lacks.
-func (h *stepHistory) merge(snapshot []keyed.Record) (lost []keyed.Record) {
-	slices.SortFunc(snapshot, func(a, b keyed.Record) int { return cmp.Compare(a.Offset, b.Offset) })
-	listed := map[string]bool{}
-	for _, step := range snapshot {
-		listed[step.Key] = true
-		h.add(step)
+// setRead removes a step from the queue, as it was read back. The caller holds mu.
+func (r *rolloutController) setRead(key string) {
+	r.pending = slices.DeleteFunc(r.pending, func(p pendingStep) bool { return p.Key == key })
+}
+
+// writeAgain queues the steps that a restored log lacks: first those that were read before, then the own ones that were
+// not. The caller holds mu.
+func (r *rolloutController) writeAgain(missing []keyed.Record) {
+	own := r.pending
+	r.pending = nil
+	for _, step := range missing {
+		r.addPending(step)
 	}
-	for _, step := range h.steps {
-		if !listed[step.Key] {
-			lost = append(lost, keyed.Record{Key: step.Key, Value: step.Value})
-		}
+	for _, p := range own {
+		r.addPending(p.Record)
 	}
-	return lost
 }
 
-// onEra prepares to tell the operator the states again that a restored log may have lost.
+// onEra prepares to write again what a restored log may have lost.
 func (r *rolloutController) onEra(_ time.Time, restored bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.era = r.follow.era
 	r.restored = restored
 }
 
--- a/gateway/rollout_restore_test.go
+++ b/gateway/rollout_restore_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,3 +99,154 @@
 	f.c.Check(b.calls["v2"], qt.Equals, 0)
 	f.c.Check(f.rolloutStatusOf("s"), qt.Equals, rollout.StateTakenBack)
 }
+
+// TestStopPrecedesLostOpening guards against a roll-out that was stopped in an outage and is open for processes that start
+// later, as the stop was written before the lost steps that it follows.
+func TestStopPrecedesLostOpening(t *testing.T) {
+	b := &versionBackend{delays: map[string]time.Duration{"v1": 2 * time.Millisecond, "v2": 40 * time.Millisecond}, calls: map[string]int{}}
+	f := newFixtureWith(t, func(cfg *Config) { cfg.Backend = b })
+	for i := range 3 {
+		id := fmt.Sprintf("new-%d", i)
+		f.log.put(keyed.Servers, id, placement.Server{ID: id, Service: "s", Zone: "z", Version: "v2"})
+	}
+	vms := []*Gateway{f.gateway, f.start("vm-2")}
+	ends := f.log.ends()
+	f.log.put(keyed.Operations, rolloutKey, catalog.Rollout{Service: "s", Target: "v2", Duration: 20 * time.Second})
+	f.waitFor("order", func() bool { return f.rolloutStatusOf("s") == rollout.StateOpen })
+	f.log.setDown(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	var wg sync.WaitGroup
+	for worker := range 16 {
+		wg.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				f.serveWithID(vms[n%2], &call.Call{Path: "/chat/1"}, fmt.Sprintf("r-%d-%d", worker, n))
+				pause(ctx, 20*time.Millisecond)
+			}
+		})
+	}
+	queued := func(g *Gateway) string {
+		g.rollouts.mu.Lock()
+		defer g.rollouts.mu.Unlock()
+		var keys []string
+		for _, p := range g.rollouts.unwritten() {
+			keys = append(keys, p.Key)
+		}
+		return strings.Join(keys, " ")
+	}
+	f.waitWithin(14*time.Second, "queued step", func() bool { return queued(vms[0]) != "" || queued(vms[1]) != "" })
+	cancel()
+	wg.Wait()
+	t.Logf("queued: vm-1 %q vm-2 %q", queued(vms[0]), queued(vms[1]))
+	f.log.restore(ends, nil)
+	f.log.setDown(false)
+	pause(context.Background(), 2*time.Second)
+	f.log.mu.Lock()
+	for _, r := range f.log.partitions[keyed.Partition{Stream: keyed.Rollouts}] {
+		t.Logf("log %d: %s", r.Offset, r.Key)
+	}
+	f.log.mu.Unlock()
+	old := f.gateway.latestChange("s")
+	next := f.start("vm-3").latestChange("s")
+	t.Logf("vm-1: %s stage %d, vm-3 (started since): %s stage %d, status %s", old.State, old.Stage, next.State, next.Stage, f.rolloutStatusOf("s"))
+	f.c.Check(next.State, qt.Equals, old.State)
+	f.c.Check(next.Stage, qt.Equals, old.Stage)
+}
+
+// TestStagePrecedesLostOpening guards against calls to servers that have stopped by processes that start after an outage in
+// which a good version was advanced, as the stage was written before the lost steps that it follows.
+func TestStagePrecedesLostOpening(t *testing.T) {
+	b := &versionBackend{delays: map[string]time.Duration{"v1": 5 * time.Millisecond, "v2": 5 * time.Millisecond}, calls: map[string]int{}}
+	f := newFixtureWith(t, func(cfg *Config) { cfg.Backend = b })
+	for i := range 3 {
+		id := fmt.Sprintf("new-%d", i)
+		f.log.put(keyed.Servers, id, placement.Server{ID: id, Service: "s", Zone: "z", Version: "v2"})
+	}
+	vms := []*Gateway{f.gateway, f.start("vm-2")}
+	ends := f.log.ends()
+	f.log.put(keyed.Operations, rolloutKey, catalog.Rollout{Service: "s", Target: "v2", Duration: 8 * time.Second})
+	f.waitFor("order", func() bool { return f.rolloutStatusOf("s") == rollout.StateOpen })
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	for worker := range 16 {
+		wg.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				f.serveWithID(vms[n%2], &call.Call{Path: "/chat/1"}, fmt.Sprintf("r-%d-%d", worker, n))
+				pause(ctx, 20*time.Millisecond)
+			}
+		})
+	}
+	pause(ctx, 800*time.Millisecond)
+	f.log.setDown(true)
+	f.waitWithin(14*time.Second, "queued step", func() bool {
+		for _, g := range vms {
+			g.rollouts.mu.Lock()
+			n := len(g.rollouts.unwritten())
+			g.rollouts.mu.Unlock()
+			if n > 0 {
+				return true
+			}
+		}
+		return false
+	})
+	f.log.restore(ends, nil)
+	f.log.setDown(false)
+	f.waitWithin(15*time.Second, "end", func() bool { return f.rolloutStatusOf("s") != rollout.StateOpen && f.rolloutStatusOf("s") != "" })
+	t.Logf("status %s", f.rolloutStatusOf("s"))
+	cancel()
+	wg.Wait()
+	pause(context.Background(), 2*time.Second)
+	f.log.mu.Lock()
+	for _, r := range f.log.partitions[keyed.Partition{Stream: keyed.Rollouts}] {
+		t.Logf("log %d: %s", r.Offset, r.Key)
+	}
+	f.log.mu.Unlock()
+	started := f.start("vm-3")
+	c := started.latestChange("s")
+	t.Logf("vm-1 %s, vm-3: %s stage %d", f.gateway.latestChange("s").State, c.State, c.Stage)
+	clear(b.calls)
+	for n := range 100 {
+		f.serveWithID(started, &call.Call{Path: "/chat/1"}, fmt.Sprint("later-", n))
+	}
+	t.Logf("calls of vm-3 by version %v", b.calls)
+	f.c.Check(b.calls["v1"], qt.Equals, 0)
+}
+
+// blindLog is a connection to the log that doesn't read steps of version changes while it is blind.
+type blindLog struct {
+	*memoryLog
+	blind atomic.Bool
+}
+
+func (l *blindLog) Read(ctx context.Context, p keyed.Partition, from uint64, wait time.Duration) (keyed.Batch, error) {
+	if p.Stream == keyed.Rollouts && l.blind.Load() {
+		return keyed.Batch{}, keyed.ErrUnavailable
+	}
+	return l.memoryLog.Read(ctx, p, from, wait)
+}
+
+func (l *blindLog) Latest(ctx context.Context, p keyed.Partition) (keyed.Batch, error) {
+	if p.Stream == keyed.Rollouts && l.blind.Load() {
+		return keyed.Batch{}, keyed.ErrUnavailable
+	}
+	return l.memoryLog.Latest(ctx, p)
+}
+
+// TestConfirmedStepIsLost guards against an order that is never followed because the log has lost the opening of its change
+// after it was confirmed and before it was read.
+func TestConfirmedStepIsLost(t *testing.T) {
+	l := &blindLog{}
+	f := newFixtureWith(t, func(cfg *Config) {
+		l.memoryLog = cfg.Log.(*memoryLog)
+		cfg.Log = l
+	})
+	ends := f.log.ends()
+	l.blind.Store(true)
+	f.log.put(keyed.Operations, rolloutKey, catalog.Rollout{Service: "s", Target: "v2", Duration: time.Minute})
+	f.waitFor("opening in the log", func() bool { return f.log.end(keyed.Rollouts) > 0 })
+	pause(context.Background(), 300*time.Millisecond)
+	f.log.restore(ends, nil)
+	l.blind.Store(false)
+	f.waitFor("opening", func() bool { return f.rolloutStatusOf("s") == rollout.StateOpen })
+	f.c.Assert(f.log.end(keyed.Rollouts) > 0, qt.IsTrue)
+}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -59,20 +60,22 @@
 	// orders are those of the operator; newOrders is set until the controller has their rules.
 	orders    *rollout.Orders
 	newOrders bool
-	// pending are steps that the log hasn't confirmed, oldest first. sequence is that of the last one.
-	pending  []keyed.Record
+	// pending are steps that weren't read back, oldest first. sequence is that of the last one.
+	pending  []pendingStep
 	sequence uint64
 	statuses []pendingStatus
 	running  map[string]bool
-	// history holds the known steps. restored is set until the first snapshot of a log that was restored from a copy.
-	history  stepHistory
+	// history holds the known steps. restored is set until the first snapshot of a log that was restored from a copy; era
+	// is the one of the last snapshot.
+	history  *rollout.History
 	restored bool
+	era      keyed.Era
 }
 
 func newRolloutController(cfg Config, servers *serverController, fleet *fleetController) *rolloutController {
 	author := record.Author{VM: cfg.Name, Incarnation: cfg.Incarnation}
 	r := &rolloutController{
-		cfg: cfg, servers: servers, fleet: fleet, author: author, changes: rollout.NewChanges(), orders: rollout.NewOrders(),
+		cfg: cfg, servers: servers, fleet: fleet, author: author, changes: rollout.NewChanges(), history: rollout.NewHistory(), orders: rollout.NewOrders(),
 		// Entry VMs share the servers, so that a server has warmed up before each of them has sent it many requests.
 		controller: rollout.NewController(rollout.Config{Author: author, WarmUpRequests: 1}),
 		running:    map[string]bool{},
@@ -213,7 +216,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode record of version change")
 	}
-	r.pending = append(r.pending, keyed.Record{Key: stepKey(a), Value: value})
+	r.addPending(keyed.Record{Key: stepKey(a), Value: value})
 	return nil
 }
 
@@ -264,17 +267,16 @@
 // statuses may be repeated.
 func (r *rolloutController) write(ctx context.Context) error {
 	r.mu.Lock()
-	steps := slices.Clone(r.pending)
+	steps := r.unwritten()
 	now := r.fleet.timeOfDay()
 	statuses := slices.DeleteFunc(slices.Clone(r.statuses), func(s pendingStatus) bool { return now.Before(s.due) })
 	r.mu.Unlock()
 	if len(steps) > 0 {
-		if _, err := r.cfg.Log.Append(ctx, r.follow.partition, steps, nil); err != nil {
+		appended, err := r.cfg.Log.Append(ctx, r.follow.partition, steps, nil)
+		if err != nil {
 			return err
 		}
-		r.mu.Lock()
-		r.pending = r.pending[len(steps):]
-		r.mu.Unlock()
+		r.setWritten(steps, appended.Era)
 	}
 	for _, s := range statuses {
 		if err := r.writeStatus(ctx, s); err != nil {
@@ -309,8 +311,31 @@
 func (r *rolloutController) apply(in keyed.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.history.add(in)
-	r.fold(in)
+	r.addSteps([]keyed.Record{in})
+}
+
+// addSteps adds steps that were read to the known ones and follows the changes. Steps that have no effect, as another
+// entry VM took the same one before, are skipped. The caller holds mu.
+func (r *rolloutController) addSteps(records []keyed.Record) {
+	var added []keyed.Record
+	for _, in := range records {
+		r.setRead(in.Key)
+		isNew, err := r.history.Add(in)
+		if err != nil {
+			r.cfg.logSkipped(in, err)
+		}
+		if isNew {
+			added = append(added, in)
+		}
+	}
+	if len(added) > 0 {
+		r.changes = r.history.Changes()
+	}
+	for _, in := range added {
+		if err := r.history.Err(in.Key); err != nil {
+			r.cfg.logSkipped(in, err)
+		}
+	}
 	r.observe()
 }
 
@@ -320,40 +345,20 @@
 	r.execute(now, r.controller.Observe(now, r.changes))
 }
 
-// snapshot folds the known steps in the order of the log. Those that the log has lost are written again.
+// snapshot adds the steps of the log to the known ones. Those that a restored log has lost are written again.
 func (r *rolloutController) snapshot(records []keyed.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	lost := r.history.merge(records)
-	r.changes = rollout.NewChanges()
-	for _, step := range r.history.steps {
-		r.fold(step)
-	}
-	r.observe()
+	slices.SortFunc(records, func(a, b keyed.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	r.addSteps(records)
 	if r.restored {
 		r.restored = false
-		r.pending = append(r.pending, lost...)
+		r.writeAgain(r.history.Missing(records))
 		r.reportAgain(r.fleet.timeOfDay())
 	}
 	r.loaded = true
 }
 
-// fold applies a step. Steps that have no effect, as another entry VM took the same one before, are skipped. The caller
-// holds mu.
-func (r *rolloutController) fold(in keyed.Record) {
-	var step record.Record
-	err := json.Unmarshal(in.Value, &step)
-	if err == nil {
-		err = step.Validate()
-	}
-	if err == nil {
-		err = r.changes.Apply(record.Position{}, step)
-	}
-	if err != nil {
-		r.cfg.logSkipped(in, err)
-	}
-}
-
 // choose returns the version for a call. A repeat of the call gets the same one.
 func (r *rolloutController) choose(service, requestID string) (rollout.Choice, bool) {
 	h := fnv.New64a()
