rollout: a process that didn't know a change can't open it again

A process had started while the store was away: the operator's order was written again before the other entry VMs had put back the steps of its change. The new process opened the change with a new id and deadline, and those who remembered the old one followed, as an opening doesn't say what its author knew.

Fix: an opening names the last change that its author knew. If the last change of the service is of an earlier era of the log and newer than that, the opening is refused when the steps are folded, on every entry VM, in whichever order they are read. Its key names the known change too, so that a refused opening doesn't stand for a good one. A process whose opening is refused learns the rule of the known change, and proposes again only if its order asks for something else. Records of older programs don't have the field and are not refused.

--- a/core/rollout/changes.go
+++ b/core/rollout/changes.go
@@ -18,6 +18,8 @@
 	ErrStale          = eris.New("record is based on outdated state")
 	ErrFinal          = eris.New("change is final")
 	ErrBeforeDeadline = eris.New("done recorded too long before the deadline")
+	// ErrUnaware is the reason to skip the opening of a change by an author that didn't know the last one.
+	ErrUnaware = eris.New("opened without knowledge of the last change")
 )
 
 // doneLead is how long before the deadline a done record may be written, so that all VMs have read it by the deadline.
@@ -111,6 +113,9 @@
 
 func (c *Changes) open(r record.Record, o Open) error {
 	last, ok := c.Latest(o.Rule.Model)
+	if ok && o.ignores(last) {
+		return eris.Wrapf(ErrUnaware, "model %s has change %s", o.Rule.Model, last.ID)
+	}
 	if ok && !last.mayFollow(o) {
 		return eris.Wrapf(ErrStale, "model %s has change %s", o.Rule.Model, last.ID)
 	}
--- a/core/rollout/controller.go
+++ b/core/rollout/controller.go
@@ -62,15 +62,18 @@
 	return &Controller{author: cfg.Author, warmUpRequests: warmUp, salt: salt, reported: map[string]State{}}
 }
 
-// SetRules sets the rules of a configuration. A configuration that isn't newer than the current one is ignored.
+// SetRules sets the rules of a configuration. An older configuration than the current one is ignored. The current one may be
+// set again with rules that differ, as when a change is known only later whose rule stands for that of an order.
 func (c *Controller) SetRules(now time.Time, version uint64, rules []Rule) {
-	if version <= c.rulesVersion {
+	if version < c.rulesVersion {
 		return
 	}
-	c.rulesVersion = version
-	c.rulesAt = now
 	c.rules = slices.SortedFunc(slices.Values(rules), func(a, b Rule) int { return cmp.Compare(a.Model, b.Model) })
-	c.proposedModels = nil
+	if version > c.rulesVersion {
+		c.rulesVersion = version
+		c.rulesAt = now
+		c.proposedModels = nil
+	}
 	for _, t := range c.trackers {
 		c.updateWithdrawn(t)
 	}
@@ -133,14 +136,23 @@
 	c.reported = reported
 }
 
+// reconsider allows another proposal for the model of a change of an earlier era, as the last proposal didn't know it.
+func (c *Controller) reconsider(change Change) {
+	if eraOf(change.ConfigVersion) < eraOf(c.rulesVersion) {
+		c.proposedModels = slices.DeleteFunc(c.proposedModels, func(model string) bool { return model == change.Rule.Model })
+	}
+}
+
 // updateTracker makes the tracker of the model follow the change.
 func (c *Controller) updateTracker(now time.Time, change Change) {
 	i, ok := c.trackerIndex(change.Rule.Model)
 	switch {
 	case !ok:
 		c.trackers = slices.Insert(c.trackers, i, newTracker(change, c, now))
+		c.reconsider(change)
 	case c.trackers[i].change.ID != change.ID:
 		c.trackers[i] = newTracker(change, c, now)
+		c.reconsider(change)
 	}
 	t := c.trackers[i]
 	t.change = change
--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"time"
 
 	"ibiswinch/core/record"
@@ -44,11 +45,18 @@
 	}
 	var actions []Action
 	for _, rule := range c.rules {
-		c.proposedModels = append(c.proposedModels, rule.Model)
-		open := Open{Rule: rule, ConfigVersion: c.rulesVersion}
-		if i, ok := c.trackerIndex(rule.Model); ok && !c.trackers[i].change.mayFollow(open) {
+		if slices.Contains(c.proposedModels, rule.Model) {
 			continue
 		}
+		c.proposedModels = append(c.proposedModels, rule.Model)
+		open := Open{Rule: rule, ConfigVersion: c.rulesVersion, Follows: new(uint64)}
+		if i, ok := c.trackerIndex(rule.Model); ok {
+			last := c.trackers[i].change
+			*open.Follows = last.ConfigVersion
+			if !last.mayFollow(open) {
+				continue
+			}
+		}
 		if now.Before(rule.Deadline) {
 			actions = append(actions, Append{Kind: record.KindOpenChange, Body: open})
 		}
--- a/core/rollout/history_test.go
+++ b/core/rollout/history_test.go
@@ -108,3 +108,70 @@
 	c.Assert(found, qt.IsTrue)
 	c.Assert(len(h.Missing(nil)) <= 512, qt.IsTrue)
 }
+
+// openSteps returns the opening of a change to v2 in the first era, and that of one to target in the second era by an author
+// that knew the last change as of follows.
+func openSteps(c *qt.C, target string, follows *uint64) (first, second keyed.Record) {
+	rule := rollout.Rule{Model: "s", Old: "v1", New: "v2", Deadline: historyDeadline, Stages: []rollout.Share{rollout.FullShare}}
+	open := rollout.Open{Rule: rule, ConfigVersion: rollout.OrderVersion(1, 7)}
+	first = stepRecord(c, "first", record.KindOpenChange, open)
+	open.Rule.New, open.Rule.Deadline = target, historyDeadline.Add(time.Second)
+	open.ConfigVersion, open.Follows = rollout.OrderVersion(2, 3), follows
+	return first, stepRecord(c, "second", record.KindOpenChange, open)
+}
+
+// TestUnawareAuthorOpensChange guards against a change that is opened again by a process that didn't know it, in whichever
+// order the openings are read, and against new changes that are refused.
+func TestUnawareAuthorOpensChange(t *testing.T) {
+	c := qt.New(t)
+	none, last, earlier := uint64(0), rollout.OrderVersion(1, 7), rollout.OrderVersion(1, 2)
+	for _, test := range []struct {
+		follows *uint64
+		refused bool
+	}{{&none, true}, {&earlier, true}, {&last, false}, {nil, false}} {
+		for _, target := range []string{"v2", "v3"} {
+			first, second := openSteps(c, target, test.follows)
+			for _, steps := range [][]keyed.Record{{first, second}, {second, first}} {
+				h := rollout.NewHistory()
+				for _, s := range steps {
+					_, err := h.Add(s)
+					c.Assert(err, qt.IsNil)
+				}
+				latest, _ := h.Changes().Latest("s")
+				c.Assert(latest.ConfigVersion == last, qt.Equals, test.refused)
+				if test.refused {
+					c.Assert(h.Err("second"), qt.ErrorIs, rollout.ErrUnaware)
+				}
+			}
+		}
+	}
+}
+
+// TestRefusedOpeningIsNotRepeated guards against an order that nobody follows, as the one opening of its change was refused
+// since its author didn't know the last change.
+func TestRefusedOpeningIsNotRepeated(t *testing.T) {
+	c := qt.New(t)
+	now := historyDeadline.Add(-time.Hour)
+	version := rollout.OrderVersion(2, 3)
+	rules := []rollout.Rule{{Model: "s", Old: "v1", New: "v3", Deadline: historyDeadline, Stages: []rollout.Share{rollout.FullShare}}}
+	controller := rollout.NewController(rollout.Config{Author: record.Author{VM: "vm", Incarnation: "vm-1"}})
+	controller.SetRules(now, version, rules)
+	follows := func() []uint64 {
+		now = now.Add(time.Second)
+		var all []uint64
+		for _, a := range controller.Tick(now) {
+			if open, ok := a.(rollout.Append).Body.(rollout.Open); ok {
+				all = append(all, *open.Follows)
+			}
+		}
+		return all
+	}
+	c.Assert(follows(), qt.DeepEquals, []uint64{0})
+	first, _ := openSteps(c, "v3", nil)
+	h := rollout.NewHistory()
+	_, err := h.Add(first)
+	c.Assert(err, qt.IsNil)
+	controller.Observe(now, h.Changes())
+	c.Assert(follows(), qt.DeepEquals, []uint64{rollout.OrderVersion(1, 7)})
+	c.Assert(follows(), qt.HasLen, 0)
+}
--- a/core/rollout/rule.go
+++ b/core/rollout/rule.go
@@ -94,6 +94,15 @@
 	Rule Rule `json:"rule"`
 	// ConfigVersion is the configuration that holds the rule.
 	ConfigVersion uint64 `json:"configVersion"`
+	// Follows is the ConfigVersion of the last change of the model that the author knew, 0 if it knew none. It is nil in
+	// records of older programs.
+	Follows *uint64 `json:"follows,omitempty"`
+}
+
+// ignores reports whether the author of o didn't know c, which was opened in an earlier era: it may have read an order of
+// which it can't tell that it was followed before.
+func (o Open) ignores(c Change) bool {
+	return eraOf(c.ConfigVersion) < eraOf(o.ConfigVersion) && o.Follows != nil && *o.Follows < c.ConfigVersion
 }
 
 // Validate checks the payload.
--- a/gateway/rollout_restore_test.go
+++ b/gateway/rollout_restore_test.go
@@ -250,3 +250,96 @@
 	f.waitFor("opening", func() bool { return f.rolloutStatusOf("s") == rollout.StateOpen })
 	f.c.Assert(f.log.end(keyed.Rollouts) > 0, qt.IsTrue)
 }
+
+// switchLog is the connection of one entry VM to the log.
+type switchLog struct {
+	*memoryLog
+	mu  sync.Mutex
+	off bool
+}
+
+func (l *switchLog) set(off bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.off = off
+}
+
+func (l *switchLog) err() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.off {
+		return keyed.ErrUnavailable
+	}
+	return nil
+}
+
+func (l *switchLog) Append(ctx context.Context, p keyed.Partition, r []keyed.Record, e *uint64) (keyed.Appended, error) {
+	if err := l.err(); err != nil {
+		return keyed.Appended{}, err
+	}
+	return l.memoryLog.Append(ctx, p, r, e)
+}
+
+func (l *switchLog) Read(ctx context.Context, p keyed.Partition, from uint64, w time.Duration) (keyed.Batch, error) {
+	if err := l.err(); err != nil {
+		return keyed.Batch{}, err
+	}
+	return l.memoryLog.Read(ctx, p, from, w)
+}
+
+func (l *switchLog) Latest(ctx context.Context, p keyed.Partition) (keyed.Batch, error) {
+	if err := l.err(); err != nil {
+		return keyed.Batch{}, err
+	}
+	return l.memoryLog.Latest(ctx, p)
+}
+
+// TestProcessThatForgotRunsBadVersionAgain guards against a finished roll-out that is opened again by a process that starts in an
+// outage and reads the order before the others have written its steps again.
+func TestProcessThatForgotRunsBadVersionAgain(t *testing.T) {
+	// The others come back before or after the time for which orders are held back.
+	for _, away := range []time.Duration{200 * time.Millisecond, 4 * time.Second} {
+		t.Run(away.String(), func(t *testing.T) { testProcessThatForgot(t, away) })
+	}
+}
+
+func testProcessThatForgot(t *testing.T, away time.Duration) {
+	b := &versionBackend{delays: map[string]time.Duration{"v1": 2 * time.Millisecond, "v2": 40 * time.Millisecond}, calls: map[string]int{}}
+	logs := map[string]*switchLog{}
+	f := newFixtureWith(t, func(cfg *Config) {
+		cfg.Backend = b
+		l := &switchLog{memoryLog: cfg.Log.(*memoryLog)}
+		logs[cfg.Name] = l
+		cfg.Log = l
+	})
+	var ends map[keyed.Partition]int
+	f.beforeOrder = func() { ends = f.log.ends() }
+	state, _, vms := f.runRollout(b)
+	f.c.Assert(state, qt.Equals, rollout.StateTakenBack)
+	logs["vm-1"].set(true)
+	logs["vm-2"].set(true)
+	pause(context.Background(), 1100*time.Millisecond)
+	f.log.restore(ends, nil)
+	next := f.start("vm-3")
+	pause(context.Background(), away)
+	logs["vm-1"].set(false)
+	logs["vm-2"].set(false)
+	pause(context.Background(), time.Second)
+	clear(b.calls)
+	for n := range 400 {
+		f.serveWithID(vms[n%2], &call.Call{Path: "/chat/1"}, fmt.Sprint("later-", n))
+	}
+	for _, g := range append(vms, next) {
+		g.rollouts.mu.Lock()
+		for _, c := range g.rollouts.changes.All() {
+			t.Logf("%s: %s: %s to %s, %s %s, by %s", g.cfg.Name, c.ID, c.Rule.Old, c.Rule.New, c.State, c.Reason, c.Author.VM)
+		}
+		g.rollouts.mu.Unlock()
+	}
+	t.Logf("calls %v, status %s", b.calls, f.rolloutStatusOf("s"))
+	f.c.Check(b.calls["v2"], qt.Equals, 0)
+	pause(context.Background(), 2*statusBackupDelay)
+	f.c.Check(f.rolloutStatusOf("s"), qt.Equals, rollout.StateTakenBack)
+	f.c.Check(next.latestChange("s").ID, qt.Equals, vms[0].latestChange("s").ID)
+	f.c.Check(next.latestChange("s").State, qt.Equals, rollout.StateTakenBack)
+}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -223,7 +223,8 @@
 func stepKey(a rollout.Append) string {
 	switch body := a.Body.(type) {
 	case rollout.Open:
-		return fmt.Sprintf("%s@%d/%s", body.Rule.Model, body.ConfigVersion, a.Kind)
+		// An opening that is skipped, as its author knew too little, doesn't stand for others.
+		return fmt.Sprintf("%s@%d/%s%d", body.Rule.Model, body.ConfigVersion, a.Kind, *body.Follows)
 	case rollout.Advance:
 		return fmt.Sprintf("%s/%s%d", body.Change, a.Kind, body.From)
 	case rollout.TakeBack:
@@ -330,13 +331,21 @@
 	}
 	if len(added) > 0 {
 		r.changes = r.history.Changes()
+		// A change that becomes known may be the one of an order.
+		r.newOrders = true
 	}
+	isUnaware := false
 	for _, in := range added {
 		if err := r.history.Err(in.Key); err != nil {
 			r.cfg.logSkipped(in, err)
+			isUnaware = isUnaware || eris.Is(err, rollout.ErrUnaware)
 		}
 	}
 	r.observe()
+	if isUnaware {
+		// The author may tell the operator that its change is running.
+		r.reportAgain(r.fleet.timeOfDay().Add(statusBackupDelay))
+	}
 }
 
 // observe makes the controller follow the changes. The caller holds mu.
