suspects: crashes that a restored log has lost are published by whoever knows them

Callers saw requests that crash servers sent to them again: the store was restored from a copy without the record of an entry VM whose process had ended or started anew since. The others knew its reports, but published only their own, so that the new process, and any that started later, never learned of them.

Cause: each entry VM answered for its own record only, though the log is the only way from the others' memory to a new process.

Reports of one incident count once, so several VMs may publish the same.

--- a/core/crash/evidence.go
+++ b/core/crash/evidence.go
@@ -136,6 +136,23 @@
 	return found
 }
 
+// Record returns all that is known, the oldest first.
+func (e *Evidence) Record() Record {
+	var r Record
+	for s, servers := range e.incidents {
+		for server, in := range servers {
+			i := Incident{Subject: s, Server: server}
+			r.Reports = append(r.Reports, Report{Incident: i, SentAt: in.sentAt, CrashedAt: in.crashedAt})
+		}
+	}
+	for i, at := range e.cleared {
+		r.Cleared = append(r.Cleared, Clearance{Incident: i, At: at})
+	}
+	slices.SortFunc(r.Reports, func(a, b Report) int { return a.CrashedAt.Compare(b.CrashedAt) })
+	slices.SortFunc(r.Cleared, func(a, b Clearance) int { return a.At.Compare(b.At) })
+	return r
+}
+
 // Expire drops what is older than the retention.
 func (e *Evidence) Expire(now time.Time) {
 	oldest := now.Add(-retention)
--- a/core/crash/report.go
+++ b/core/crash/report.go
@@ -64,6 +64,31 @@
 	Cleared []Clearance `json:"cleared,omitempty"`
 }
 
+// Without returns the record without the incidents that are listed in others.
+func (r Record) Without(others []Record) Record {
+	reported, cleared := map[Incident]bool{}, map[Incident]bool{}
+	for _, o := range others {
+		for _, report := range o.Reports {
+			reported[report.Incident] = true
+		}
+		for _, c := range o.Cleared {
+			cleared[c.Incident] = true
+		}
+	}
+	var rest Record
+	for _, report := range r.Reports {
+		if !reported[report.Incident] {
+			rest.Reports = append(rest.Reports, report)
+		}
+	}
+	for _, c := range r.Cleared {
+		if !cleared[c.Incident] {
+			rest.Cleared = append(rest.Cleared, c)
+		}
+	}
+	return rest
+}
+
 // Clearance ends the suspicion that a subject has caused an incident.
 type Clearance struct {
 	Incident
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -235,6 +235,27 @@
 	f.waitFor("record written again", func() bool { return f.log.end(keyed.Crashes) > 0 })
 }
 
+// TestRestoredLogForgetsCrashesOfEndedProcess guards against the same when the process that reported the crash has ended: one
+// that starts later sends the call again.
+func TestRestoredLogForgetsCrashesOfEndedProcess(t *testing.T) {
+	f := newFixture(t, interrupted)
+	third, stop := f.startStoppable("vm-3")
+	ends := f.log.ends()
+	f.serveAt(third, &call.Call{Path: "/order/1", InputTokens: 100, MaxOutputTokens: 40})
+	f.waitFor("word of the crash", func() bool { return f.gateway.knowsCrash() })
+	stop()
+	f.log.restore(ends, nil)
+	next := f.start("vm-3")
+	f.waitFor("word of the crash after the restoration", next.knowsCrash)
+}
+
+// knowsCrash reports whether an entry VM knows of a crash.
+func (g *Gateway) knowsCrash() bool {
+	g.suspects.mu.Lock()
+	defer g.suspects.mu.Unlock()
+	return !g.suspects.evidence.IsEmpty()
+}
+
 // TestRestoredLogUndoesRollout guards against a roll-out that is undone, or run again, because the log has lost its steps,
 // and against an operator who is never told how it ended.
 func TestRestoredLogUndoesRollout(t *testing.T) {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -45,6 +45,8 @@
 	published map[crash.Incident]bool
 	// loaded is set once the records of all entry VMs were read.
 	loaded bool
+	// restored is set until the first snapshot of a log that was restored from a copy.
+	restored bool
 	// quarantined are the subjects in quarantine at the last change.
 	quarantined map[crash.Subject]bool
 }
@@ -123,21 +125,17 @@
 
 func newest[T any](list []T) []T { return list[max(len(list)-maxPublished, 0):] }
 
-// onEra publishes the own record again if the log may have lost it.
-func (s *suspectController) onEra(_ time.Time, restored bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if restored && len(s.own.Reports)+len(s.own.Cleared) > 0 {
-		s.requestPublish()
-	}
-}
-
 func (s *suspectController) snapshot(records []keyed.Record) {
+	var listed []crash.Record
 	for _, r := range records {
-		s.set(r)
+		listed = append(listed, s.merge(r))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.restored {
+		s.restored = false
+		s.publishLost(listed)
+	}
 	s.loaded = true
 }
 
@@ -147,12 +145,15 @@
 	return s.loaded
 }
 
-// set merges the record of an entry VM. That of an earlier process of this one is adopted, as the next one replaces it.
-func (s *suspectController) set(r keyed.Record) {
+func (s *suspectController) set(r keyed.Record) { s.merge(r) }
+
+// merge adds the record of an entry VM and returns its sound part. That of an earlier process of this one is adopted, as the
+// next one replaces it.
+func (s *suspectController) merge(r keyed.Record) crash.Record {
 	var in crash.Record
 	if err := json.Unmarshal(r.Value, &in); err != nil {
 		s.cfg.logSkipped(r, err)
-		return
+		return crash.Record{}
 	}
 	in, err := in.Sound()
 	if err != nil {
@@ -173,6 +174,7 @@
 		}
 	}
 	s.updateQuarantines(r.Key)
+	return in
 }
 
 // recordCrash records that an attempt was interrupted at a server, which may have crashed on the call. The parts of the
