--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -39,13 +38,6 @@
 // requests at most; the third shows faults that come with load.
 func rolloutStages() []rollout.Share { return []rollout.Share{300, 700, 3000, rollout.FullShare} }
 
-// order is an order of the operator. Its version is higher than that of earlier orders.
-type order struct {
-	catalog.Rollout
-	version  uint64
-	deadline time.Time
-}
-
 // pendingStatus is an outcome to write for the operator at due.
 type pendingStatus struct {
 	change rollout.Change
@@ -65,23 +57,25 @@
 	controller *rollout.Controller
 	changes    *rollout.Changes
 	loaded     bool
-	// orders are those of the operator, by service; newOrders is set until the controller has its rules.
-	orders    map[string]order
+	// orders are those of the operator; newOrders is set until the controller has their rules.
+	orders    *rollout.Orders
 	newOrders bool
-	// pending are steps that the log hasn't confirmed, oldest first. sequence is that of the last one.
-	pending  []keyed.Record
+	// pending are steps that weren't read back, oldest first. sequence is that of the last one.
+	pending  []pendingStep
 	sequence uint64
 	statuses []pendingStatus
 	running  map[string]bool
-	// history holds the known steps. restored is set until the first snapshot of a log that was restored from a copy.
-	history  stepHistory
+	// history holds the known steps. restored is set until the first snapshot of a log that was restored from a copy; era
+	// is the one of the last snapshot.
+	history  *rollout.History
 	restored bool
+	era      keyed.Era
 }
 
 func newRolloutController(cfg Config, servers *serverController, fleet *fleetController) *rolloutController {
 	author := record.Author{VM: cfg.Name, Incarnation: cfg.Incarnation}
 	r := &rolloutController{
-		cfg: cfg, servers: servers, fleet: fleet, author: author, changes: rollout.NewChanges(), orders: map[string]order{},
+		cfg: cfg, servers: servers, fleet: fleet, author: author, changes: rollout.NewChanges(), history: rollout.NewHistory(), orders: rollout.NewOrders(),
 		// Entry VMs share the servers, so that a server has warmed up before each of them has sent it many requests.
 		controller: rollout.NewController(rollout.Config{Author: author, WarmUpRequests: 1}),
 		running:    map[string]bool{},
@@ -134,46 +128,52 @@
 	return slices.ContainsFunc(r.changes.All(), func(c rollout.Change) bool { return c.State == rollout.StateOpen })
 }
 
+// beginOrders prepares for the first orders of an era. In the first one nothing was lost.
+func (r *rolloutController) beginOrders(era keyed.Era) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if era > firstEra {
+		r.orders.BeginEra(r.cfg.Now())
+	}
+}
+
 // addOrder records an order of the operator.
-func (r *rolloutController) addOrder(o catalog.Rollout, version uint64) {
-	now := r.fleet.timeOfDay()
+func (r *rolloutController) addOrder(in catalog.Rollout, version uint64) {
+	o := rollout.Order{Rollout: in, Version: version, Deadline: r.fleet.timeOfDay().Add(in.Duration)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if old, found := r.orders[o.Service]; found && (old.version >= version || old.repeats(o, version)) {
+	if last, found := r.changes.Latest(in.Service); found {
+		o.Follows = last.ConfigVersion
+	}
+	if !r.orders.Add(r.cfg.Now(), o) {
 		return
 	}
-	r.orders[o.Service] = order{Rollout: o, version: version, deadline: now.Add(o.Duration)}
 	r.newOrders = true
 	r.cfg.Events.Event(event.RolloutOrdered, apexlog.Fields{
-		"service": o.Service, "version": o.Target, "duration": o.Duration.String(), "order": version,
+		"service": in.Service, "version": in.Target, "duration": in.Duration.String(), "order": version, "held": r.orders.IsHolding(),
 	})
 }
 
-// setRules tells the controller the rules of the orders. An order whose change is open has the rule of the change, as the
-// entry VM that opened it set the deadline. The caller holds mu.
+// setRules tells the controller the rules of the orders. The caller holds mu.
 func (r *rolloutController) setRules(now time.Time) {
 	var rules []rollout.Rule
-	for _, o := range slices.SortedFunc(maps.Values(r.orders), func(a, b order) int { return cmp.Compare(a.version, b.version) }) {
-		rule := rollout.Rule{
-			Model: o.Service, Old: r.servers.commonVersion(o.Service, o.Target), New: o.Target, Deadline: o.deadline, Stages: rolloutStages(),
-		}
-		if last, found := r.changes.Latest(o.Service); found && (last.ConfigVersion >= o.version || o.isRepeated(last)) {
-			rule = last.Rule
-		} else if rule.Old == "" {
+	for _, o := range r.orders.Current(r.cfg.Now()) {
+		rule, known := o.Rule(r.changes, r.servers.commonVersion(o.Service, o.Target), rolloutStages())
+		if !known {
 			// No server of another version is known yet.
 			return
 		}
 		rules = append(rules, rule)
-		r.controller.SetRules(now, o.version, rules)
+		r.controller.SetRules(now, o.Version, rules)
 	}
-	r.newOrders = false
+	r.newOrders = r.orders.IsHolding()
 }
 
 func (r *rolloutController) tick() {
 	now := r.fleet.timeOfDay()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.loaded || len(r.orders) == 0 {
+	if !r.loaded {
 		return
 	}
 	if r.newOrders {
@@ -216,14 +216,15 @@
 	if err != nil {
 		return eris.Wrap(err, "encode record of version change")
 	}
-	r.pending = append(r.pending, keyed.Record{Key: stepKey(a), Value: value})
+	r.addPending(keyed.Record{Key: stepKey(a), Value: value})
 	return nil
 }
 
 func stepKey(a rollout.Append) string {
 	switch body := a.Body.(type) {
 	case rollout.Open:
-		return fmt.Sprintf("%s@%d/%s", body.Rule.Model, body.ConfigVersion, a.Kind)
+		// An opening that is skipped, as its author knew too little, doesn't stand for others.
+		return fmt.Sprintf("%s@%d/%s%d", body.Rule.Model, body.ConfigVersion, a.Kind, *body.Follows)
 	case rollout.Advance:
 		return fmt.Sprintf("%s/%s%d", body.Change, a.Kind, body.From)
 	case rollout.TakeBack:
@@ -267,17 +268,16 @@
 // statuses may be repeated.
 func (r *rolloutController) write(ctx context.Context) error {
 	r.mu.Lock()
-	steps := slices.Clone(r.pending)
+	steps := r.unwritten()
 	now := r.fleet.timeOfDay()
 	statuses := slices.DeleteFunc(slices.Clone(r.statuses), func(s pendingStatus) bool { return now.Before(s.due) })
 	r.mu.Unlock()
 	if len(steps) > 0 {
-		if _, err := r.cfg.Log.Append(ctx, r.follow.partition, steps, nil); err != nil {
+		appended, err := r.cfg.Log.Append(ctx, r.follow.partition, steps, nil)
+		if err != nil {
 			return err
 		}
-		r.mu.Lock()
-		r.pending = r.pending[len(steps):]
-		r.mu.Unlock()
+		r.setWritten(steps, appended.Era)
 	}
 	for _, s := range statuses {
 		if err := r.writeStatus(ctx, s); err != nil {
@@ -312,9 +312,40 @@
 func (r *rolloutController) apply(in keyed.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.history.add(in)
-	r.fold(in)
+	r.addSteps([]keyed.Record{in})
+}
+
+// addSteps adds steps that were read to the known ones and follows the changes. Steps that have no effect, as another
+// entry VM took the same one before, are skipped. The caller holds mu.
+func (r *rolloutController) addSteps(records []keyed.Record) {
+	var added []keyed.Record
+	for _, in := range records {
+		r.setRead(in.Key)
+		isNew, err := r.history.Add(in)
+		if err != nil {
+			r.cfg.logSkipped(in, err)
+		}
+		if isNew {
+			added = append(added, in)
+		}
+	}
+	if len(added) > 0 {
+		r.changes = r.history.Changes()
+		// A change that becomes known may be the one of an order.
+		r.newOrders = true
+	}
+	isUnaware := false
+	for _, in := range added {
+		if err := r.history.Err(in.Key); err != nil {
+			r.cfg.logSkipped(in, err)
+			isUnaware = isUnaware || eris.Is(err, rollout.ErrUnaware)
+		}
+	}
 	r.observe()
+	if isUnaware {
+		// The author may tell the operator that its change is running.
+		r.reportAgain(r.fleet.timeOfDay().Add(statusBackupDelay))
+	}
 }
 
 // observe makes the controller follow the changes. The caller holds mu.
@@ -323,40 +354,20 @@
 	r.execute(now, r.controller.Observe(now, r.changes))
 }
 
-// snapshot folds the known steps in the order of the log. Those that the log has lost are written again.
+// snapshot adds the steps of the log to the known ones. Those that a restored log has lost are written again.
 func (r *rolloutController) snapshot(records []keyed.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	lost := r.history.merge(records)
-	r.changes = rollout.NewChanges()
-	for _, step := range r.history.steps {
-		r.fold(step)
-	}
-	r.observe()
+	slices.SortFunc(records, func(a, b keyed.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	r.addSteps(records)
 	if r.restored {
 		r.restored = false
-		r.pending = append(r.pending, lost...)
+		r.writeAgain(r.history.Missing(records))
 		r.reportAgain(r.fleet.timeOfDay())
 	}
 	r.loaded = true
 }
 
-// fold applies a step. Steps that have no effect, as another entry VM took the same one before, are skipped. The caller
-// holds mu.
-func (r *rolloutController) fold(in keyed.Record) {
-	var step record.Record
-	err := json.Unmarshal(in.Value, &step)
-	if err == nil {
-		err = step.Validate()
-	}
-	if err == nil {
-		err = r.changes.Apply(record.Position{}, step)
-	}
-	if err != nil {
-		r.cfg.logSkipped(in, err)
-	}
-}
-
 // choose returns the version for a call. A repeat of the call gets the same one.
 func (r *rolloutController) choose(service, requestID string) (rollout.Choice, bool) {
 	h := fnv.New64a()
