--- a/review/cmd/trial/foreign.go
+++ b/review/cmd/trial/foreign.go
@@ -7,7 +7,10 @@
 	"time"
 )
 
-func init() { trials["foreign-entry"] = foreignEntry }
+func init() {
+	trials["foreign-entry"] = foreignEntry
+	trials["foreign-service"] = foreignService
+}
 
 const (
 	// foreignDelay is the time from the removal of the server's entry until another writer writes one under its id.
@@ -23,7 +26,7 @@
 	routes, services := ordersRoute()
 	t.publish(routes, services, tenant(key))
 	for range 3 {
-		if _, err := t.addServer(400 * time.Millisecond); err != nil {
+		if _, err := t.addServer("orders", 400*time.Millisecond); err != nil {
 			return err
 		}
 	}
@@ -40,7 +43,7 @@
 	removedAt := leaver.leave()
 	time.Sleep(time.Until(removedAt.Add(foreignDelay)))
 	if t.trouble {
-		leaver.writeForeign()
+		leaver.writeForeign("orders")
 	}
 	time.Sleep(time.Until(removedAt.Add(servingTime)))
 	t.note("%s exits", leaver.id)
@@ -49,11 +52,12 @@
 	return t.judgeLeaving(c, leaver, removedAt)
 }
 
-// writeForeign writes an entry of another writer under the id of the server: fields are missing.
-func (s *server) writeForeign() {
+// writeForeign writes an entry of another writer under the id of the server, for a service: fields are missing.
+func (s *server) writeForeign(service string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry := s.entry()
+	entry["service"] = service
 	for _, field := range []string{"cold_remaining_ms", "sequence", "born"} {
 		delete(entry, field)
 	}
@@ -94,3 +98,47 @@
 	}
 	return nil
 }
+
+// foreignService has an entry of another writer appear under the id of a sound server of the service "kiln". It names the service
+// "orders" and lacks the fields cold_remaining_ms, sequence and born. Such an entry names no server to use.
+func foreignService(t *trial) error {
+	routes, services := ordersRoute()
+	routes = append(routes, map[string]any{
+		"name": "r-kiln", "host": host, "path_prefix": "/kiln/", "kind": "safe", "timeout_ms": 3000, "target_latency_ms": 300,
+		"priority": 1, "service": "kiln", "attempts": 2, "public": false, "sticky_sessions": false, "stream_resumption": false,
+	})
+	services = append(services, map[string]any{"name": "kiln", "health_path": "/health", "connection_limit": 110, "protocol": "h1", "tls": false})
+	t.publish(routes, services, tenant(key))
+	for _, service := range []string{"orders", "orders", "orders", "kiln", "kiln"} {
+		if _, err := t.addServer(service, 60*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	if err := t.startVMs(2); err != nil {
+		return err
+	}
+	c := newClient(t)
+	until := time.Now().Add(8 * time.Second)
+	for _, v := range t.vms {
+		t.wg.Go(func() { c.run(v, "/orders/1", 40*time.Millisecond, until) })
+	}
+	time.Sleep(4 * time.Second)
+	wrong := t.servers[3]
+	if t.trouble {
+		wrong.writeForeign("orders")
+	}
+	time.Sleep(time.Until(until.Add(deadline)))
+	requests, ran, answered := c.requests(), 0, 0
+	for _, a := range wrong.runs() {
+		s := requests[a.id]
+		ran++
+		if s.status/100 == 2 {
+			answered++
+		}
+	}
+	t.note("%d orders ran at %s, a server of kiln; for %d of them the client got its answer as a success", ran, wrong.id, answered)
+	if ran > 0 {
+		return errBroken
+	}
+	return nil
+}
--- a/review/cmd/trial/server.go
+++ b/review/cmd/trial/server.go
@@ -12,10 +12,11 @@
 	"time"
 )
 
-// server is a sound server of the plain service "orders".
+// server is a sound server of a plain service. It runs any request that expects it.
 type server struct {
 	t        *trial
 	id       string
+	service  string
 	address  string
 	zone     string
 	workTime time.Duration
@@ -36,11 +37,11 @@
 	at time.Time
 }
 
-// addServer starts the next server and writes its entry.
-func (t *trial) addServer(workTime time.Duration) (*server, error) {
+// addServer starts the next server of a service and writes its entry.
+func (t *trial) addServer(service string, workTime time.Duration) (*server, error) {
 	i := len(t.servers)
 	s := &server{
-		t: t, id: fmt.Sprintf("i-%04x", 0x7f30+i), address: fmt.Sprintf("%s:%d", t.ip(2, i), serverPort), zone: fmt.Sprintf("zone-%d", i%2),
+		t: t, service: service, id: fmt.Sprintf("i-%04x", 0x7f30+i), address: fmt.Sprintf("%s:%d", t.ip(2, i), serverPort), zone: fmt.Sprintf("zone-%d", i%2),
 		workTime: workTime, born: time.Now().UnixMilli(), listed: true,
 	}
 	l, err := net.Listen("tcp4", s.address)
@@ -83,7 +84,7 @@
 // entry is the server's entry. The caller holds mu.
 func (s *server) entry() map[string]any {
 	return map[string]any{
-		"service": "orders", "address": s.address, "zone": s.zone, "version": "v1", "slots": 8, "state": "ready",
+		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 8, "state": "ready",
 		"cold_remaining_ms": 0, "sequence": s.sequence, "born": s.born,
 	}
 }
@@ -127,7 +128,7 @@
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, arrival{id: id, at: time.Now()})
 	s.mu.Unlock()
-	s.t.note("%s runs %s for tenant %s", s.id, id, r.Header.Get("Tenant"))
+	s.t.note("%s of service %s runs %s for tenant %s", s.id, s.service, id, r.Header.Get("Tenant"))
 	select {
 	case <-r.Context().Done():
 		s.t.note("%s drops %s: its connection has closed", s.id, id)
@@ -140,7 +141,7 @@
 	}
 	s.mu.Unlock()
 	h.Set("Response-Seal", "seal-of-"+id)
-	fmt.Fprintf(w, "order %s", id)
+	fmt.Fprintf(w, "%s ran %s", s.service, id)
 }
 
 // runs returns the requests that the server began to run.
--- a/review/cmd/trial/silent.go
+++ b/review/cmd/trial/silent.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"os"
 	"sync"
 	"time"
 )
@@ -18,7 +17,7 @@
 	routes, services := ordersRoute()
 	t.publish(routes, services, tenant(key, revokedKey))
 	for range 3 {
-		if _, err := t.addServer(20 * time.Millisecond); err != nil {
+		if _, err := t.addServer("orders", 20*time.Millisecond); err != nil {
 			return err
 		}
 	}
@@ -26,11 +25,11 @@
 		return err
 	}
 	c := newClient(t)
-	until := time.Now().Add(14 * time.Second)
+	until := time.Now().Add(11 * time.Second)
 	for _, v := range t.vms {
 		t.wg.Go(func() { c.run(v, "/orders/1", 100*time.Millisecond, until) })
 	}
-	time.Sleep(4*time.Second + debugOffset())
+	time.Sleep(4500 * time.Millisecond)
 	silencedAt := time.Now()
 	if t.trouble {
 		for _, v := range t.vms {
@@ -73,8 +72,3 @@
 	}
 	return nil
 }
-
-func debugOffset() time.Duration {
-	d, _ := time.ParseDuration(os.Getenv("OFFSET"))
-	return d
-}
--- a/review/cmd/trial/stream.go
+++ b/review/cmd/trial/stream.go
@@ -85,11 +85,6 @@
 		return
 	}
 	h.Set("Response-Seal", "seal-of-"+id)
-	if r.URL.Path == "/orders/1" {
-		e.t.note("%s, a server of llm, runs %s on %s", e.id, id, r.URL.Path)
-		fmt.Fprintf(w, "answer of llm to %s", id)
-		return
-	}
 	h.Set("Content-Type", "text/event-stream")
 	for n := 1; n <= outputTokens/eventTokens; n++ {
 		fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", n, id, n)
