review: the case of a store that comes back from a copy while all machines lose power

Cause: raises of a reservation are spent once another process knows them; when all processes end and the store comes back from an older copy, nobody knows them any more.

--- a/review/cmd/trial/main.go
+++ b/review/cmd/trial/main.go
@@ -27,7 +27,7 @@
 }
 
 func run(name, repository, recordPath string) int {
-	t, err := newTrial(repository, recordPath, !slices.Contains(os.Environ(), "TROUBLE=0"))
+	t, err := newTrial(name, repository, recordPath, !slices.Contains(os.Environ(), "TROUBLE=0"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/review/cmd/trial/rates.go
+++ b/review/cmd/trial/rates.go
@@ -61,7 +61,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { u.runAsks(t, names, up, 25*time.Millisecond, stop) })
 	time.Sleep(spendingTime)
-	u.log(t, names)
+	u.log(t, names, prepaid)
 	if t.trouble {
 		for _, v := range t.vms {
 			if err := v.setRates(); err != nil {
@@ -82,7 +82,7 @@
 	time.Sleep(spendingTime)
 	close(stop)
 	wg.Wait()
-	u.log(t, names)
+	u.log(t, names, prepaid)
 	for _, name := range names {
 		if u.delivered[name] > prepaid {
 			return errBroken
@@ -122,10 +122,11 @@
 	return nil
 }
 
-func (u *usage) log(t *trial, names []string) {
+// log notes what the tenants got of the tokens that each has paid for.
+func (u *usage) log(t *trial, names []string, paid int64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, name := range names {
-		t.note("tenant %s got %d of %d prepaid tokens; answers by status: %v", name, u.delivered[name], prepaid, u.statuses[name])
+		t.note("tenant %s got %d of %d prepaid tokens; answers by status: %v", name, u.delivered[name], paid, u.statuses[name])
 	}
 }
--- a/review/cmd/trial/stream.go
+++ b/review/cmd/trial/stream.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +22,8 @@
 	eventGap    = 3 * time.Millisecond
 	// inputTokens and outputTokens are the tokens of each call.
 	inputTokens, outputTokens = 400, 80
+	// firstRequestID is the number of the first request id.
+	firstRequestID = 0x5a0000000000
 )
 
 // engine is a sound model server of the service "llm".
@@ -97,6 +100,9 @@
 
 // usage counts what the tenants got.
 type usage struct {
+	// next is the number of calls so far.
+	next atomic.Int64
+
 	mu sync.Mutex
 	// delivered are the tokens that each tenant got: the input of each answered call and the output delivered.
 	delivered map[string]int64
@@ -162,10 +168,7 @@
 		case <-time.After(interval):
 		}
 		v := up(i / len(names))
-		if v == nil {
-			continue
-		}
-		id := strconv.FormatInt(int64(0x5a0000000000)+int64(i), 16)
+		id := strconv.FormatInt(firstRequestID+u.next.Add(1), 16)
 		wg.Go(func() { u.ask(t, c, v, names[i%len(names)], id) })
 	}
 }
--- a/review/cmd/trial/trial.go
+++ b/review/cmd/trial/trial.go
@@ -72,7 +72,7 @@
 	cmd        *exec.Cmd
 }
 
-func newTrial(repository, recordPath string, trouble bool) (*trial, error) {
+func newTrial(name, repository, recordPath string, trouble bool) (*trial, error) {
 	record, err := os.Create(recordPath)
 	if err != nil {
 		return nil, err
@@ -89,12 +89,20 @@
 			return nil, err
 		}
 	}
-	go func() { _ = http.Serve(t.storeListener, withoutEra(t.store)) }()
+	go func() { _ = http.Serve(t.storeListener, t.storeHandler(name)) }()
 	t.note("trouble: %v", trouble)
 	return t, nil
 }
 
-// withoutEra leaves out the header of a store that can be restored from a copy, which the pages in force don't name.
+// storeHandler returns the store of a trial. Only one that comes back from a copy names its era.
+func (t *trial) storeHandler(trial string) http.Handler {
+	if trial == "restored-store" {
+		return t.store
+	}
+	return withoutEra(t.store)
+}
+
+// withoutEra leaves out the header Store-Era.
 func withoutEra(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { h.ServeHTTP(eraRemover{w}, r) })
 }
