--- a/review/cmd/trial/foreign.go
+++ b/review/cmd/trial/foreign.go
@@ -52,6 +52,19 @@
 	return t.judgeLeaving(c, leaver, removedAt)
 }
 
+// awaitBeat waits until the server has written its entry once more.
+func (s *server) awaitBeat() {
+	for last := s.beats(); s.beats() == last; {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (s *server) beats() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sequence
+}
+
 // writeForeign writes an entry of another writer under the id of the server, for a service: fields are missing.
 func (s *server) writeForeign(service string) {
 	s.mu.Lock()
@@ -124,6 +137,7 @@
 	}
 	time.Sleep(4 * time.Second)
 	wrong := t.servers[3]
+	wrong.awaitBeat()
 	if t.trouble {
 		wrong.writeForeign("orders")
 	}
--- a/review/cmd/trial/silent.go
+++ b/review/cmd/trial/silent.go
@@ -21,7 +21,7 @@
 			return err
 		}
 	}
-	if err := t.startVMs(3); err != nil {
+	if err := t.startVMs(7); err != nil {
 		return err
 	}
 	c := newClient(t)
