gateway: log when the removal of a server is put off, and how long the log was silent

Change: event 727 names each server whose removal is put off and until when; 201 has the time since the log's last answer to a read of the stream. 725 and 726 were missing in the catalogue that docs and tests go through.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -105,6 +105,7 @@
 	OldServerIgnored = Event{724, Info, "outdated record of a backend server ignored"}
 	ServerLeaving    = Event{725, Info, "backend server says that it leaves"}
 	ServerWait       = Event{726, Info, "backend server asks for a wait"}
+	ServerKept       = Event{727, Info, "removal of a backend server put off"}
 	RequestEnded     = Event{730, Info, "request ended"}
 	RequestRefused   = Event{731, Info, "request refused"}
 	AttemptFailed    = Event{732, Info, "attempt failed"}
@@ -149,7 +150,8 @@
 		TokensDrawn, TokensHandedOver, ReservationsPutBack, ReservingAgain,
 		OrderOutcomeUnknown, OrderWithdrawn, ChangeStopped, ChangeTakenBack, ChangeDone, RolloutOrdered, RolloutNotWritten,
 		ServerCrashed, StreamResumed, StreamSuspended, RequestFailed, RequestQuarantined, MemoryFull, QuarantineEnded, CrashesNotPublished,
-		ServerUpdated, ServerRemoved, ServerPaused, ServerLimited, OldServerIgnored, RequestEnded, RequestRefused, AttemptFailed, LogLinesDropped,
+		ServerUpdated, ServerRemoved, ServerPaused, ServerLimited, OldServerIgnored, ServerLeaving, ServerWait, ServerKept,
+		RequestEnded, RequestRefused, AttemptFailed, LogLinesDropped,
 		OverloadChanged, UsageUnavailable,
 		PeerUnreachable, PeerRejected, PeerTimedOut,
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -40,11 +40,14 @@
 	era     keyed.Era
 	started bool
 	logDown bool
+	// answeredAt is when the log last answered a read, or when the loop began.
+	answeredAt time.Time
 	// hasSnapshot is set once a snapshot was loaded.
 	hasSnapshot bool
 }
 
 func (f *follower) loop(ctx context.Context) error {
+	f.answeredAt = f.cfg.Now()
 	for ctx.Err() == nil {
 		interval := minReadInterval
 		if f.interval != nil {
@@ -150,14 +153,20 @@
 	}
 }
 
+// setLogUp records an answer of the log.
 func (f *follower) setLogUp() {
+	now := f.cfg.Now()
+	silentSince := f.answeredAt
+	f.answeredAt = now
 	if !f.logDown {
 		return
 	}
 	f.logDown = false
-	f.cfg.Events.Event(event.LogAvailable, f.fields())
+	fields := f.fields()
+	fields["silentMs"] = now.Sub(silentSince).Milliseconds()
+	f.cfg.Events.Event(event.LogAvailable, fields)
 	if f.onLogUp != nil {
-		f.onLogUp(f.cfg.Now())
+		f.onLogUp(now)
 	}
 }
 
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -196,11 +196,14 @@
 // remove removes a server. If its record may have expired because the log was unavailable, it is kept for the grace
 // period. The caller holds mu.
 func (s *serverController) remove(id, reason string) {
-	if s.logDown || s.cfg.Now().Before(s.graceEnd) {
-		s.missing[id] = true
+	if !s.logDown && !s.cfg.Now().Before(s.graceEnd) {
+		s.forget(id, reason)
 		return
 	}
-	s.forget(id, reason)
+	if _, known := s.table.Server(id); known && !s.missing[id] {
+		s.cfg.Events.Event(event.ServerKept, apexlog.Fields{"server": id, "reason": reason, "until": s.graceEnd})
+	}
+	s.missing[id] = true
 }
 
 // removeMissing removes servers that are still missing after the grace period. The caller holds mu.
