gateway: removed servers are kept only after an outage in which records may have expired

Cause: any failed read of the servers began the grace period of 2 s in which removed servers stay in use, also if only the entry VM's own connection had been silent. The grace period is for records that expire because the servers couldn't reach the store.

TestRemovalAfterSilentConnectionIsPutOff and TestFirstAnswerAfterOutageIsWaitedFor fail with the code of the parent commit (server placed, wait of 1 s instead of none) and pass now. TestMissingServersAreKeptForGrace has only the new argument.

Why it works: a record expires after three heartbeats, so no outage shorter than two can have removed it. Reads of the servers wait less, and the first one after a failure not at all, so that a silent connection costs 1.9 s at most and two heartbeats take 2.4 s.

--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -125,7 +125,7 @@
 	p.gateway = gateway.New(gateway.Config{
 		Name: s.Name, Incarnation: incarnation, Zone: s.Zone, Log: platform.NewStore(s.StoreAddress), Decoder: platform.Decoder{}, Encoder: platform.Encoder{},
 		Backend: platform.NewServerClient(time.Now, &p.traffic), Peers: peer.NewPoolClient(platform.PeerDialer()), Address: s.PeerAddress, Now: time.Now, Events: p.events, Metrics: p.metrics,
-		Retries:          retry.WindowBudgetConfig{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow},
+		Retries: retry.WindowBudgetConfig{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow}, ServerHeartbeat: s.ServerHeartbeat,
 		LedgerPartitions: max(min(int(s.StoreReadsPerSecond/readsPerSecondPerPartition), s.MaxPartitions), 1), Seed: uint64(time.Now().UnixNano()),
 		LogNearLimit: p.logOutput.NearLimit, Limits: overload.Limits{LinkBytesPerSecond: s.LinkBytesPerSecond, Cores: s.Cores}, Usage: p.sampleUsage, BytesSent: p.traffic.SentBytes,
 	})
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -76,7 +76,7 @@
 		}
 		lp.follow = follower{
 			cfg: cfg, partition: keyed.Partition{Stream: keyed.Ledger, Number: i}, apply: lp.apply, snapshot: lp.snapshot,
-			onLogDown: func(time.Time) { lp.setLogDown(true) }, onLogUp: func(time.Time) { lp.setLogDown(false) },
+			onLogDown: func(time.Time) { lp.setLogDown(true) }, onLogUp: func(_, _ time.Time) { lp.setLogDown(false) },
 			onEra: lp.beginEra,
 		}
 		b.partitions = append(b.partitions, lp)
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -170,7 +170,7 @@
 	}
 	f.follow = follower{
 		cfg: cfg, partition: keyed.Partition{Stream: keyed.Fleet}, apply: f.apply,
-		snapshot: f.snapshot, onLogDown: func(time.Time) { f.setLogDown(true) }, onLogUp: func(time.Time) { f.setLogDown(false) },
+		snapshot: f.snapshot, onLogDown: func(time.Time) { f.setLogDown(true) }, onLogUp: func(_, _ time.Time) { f.setLogDown(false) },
 	}
 	return f
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -30,8 +30,10 @@
 	// snapshot gets the newest records of all keys. A key that isn't among them doesn't exist.
 	snapshot func(records []keyed.Record)
 	apply    func(r keyed.Record)
-	// onLogDown and onLogUp are called when the log becomes unavailable and available again. They may be nil.
-	onLogDown, onLogUp func(now time.Time)
+	// onLogDown and onLogUp are called when the log becomes unavailable and available again. Since silentSince no read was
+	// answered. They may be nil.
+	onLogDown func(now time.Time)
+	onLogUp   func(silentSince, now time.Time)
 	// onEra is called before the first snapshot of each era. restored is set if an earlier era was read. It may be nil.
 	onEra func(now time.Time, restored bool)
 
@@ -97,7 +99,8 @@
 		return nil
 	}
 	var wait time.Duration
-	if f.wait != nil {
+	// After a failure the next read answers at once, so that the outage isn't taken to last longer than it does.
+	if f.wait != nil && !f.logDown {
 		wait = f.wait()
 	}
 	batch, err := f.cfg.Log.Read(ctx, f.partition, f.next, wait)
@@ -166,7 +169,7 @@
 	fields["silentMs"] = now.Sub(silentSince).Milliseconds()
 	f.cfg.Events.Event(event.LogAvailable, fields)
 	if f.onLogUp != nil {
-		f.onLogUp(now)
+		f.onLogUp(silentSince, now)
 	}
 }
 
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -10,6 +10,7 @@
 
 	"ibiswinch/core/keyed"
 	"ibiswinch/core/placement"
+	"ibiswinch/io/apexlog"
 )
 
 // TestConfigurationNeverGoesBack guards against applying an older configuration that is read after a newer one.
@@ -84,19 +85,56 @@
 	}
 	s.snapshot([]keyed.Record{record})
 	s.onLogDown(now)
-	s.onLogUp(now)
+	s.onLogUp(now, now)
 	s.apply(keyed.Record{Key: "s-1"})
 	c.Assert(place(), qt.IsTrue)
 	s.apply(record)
 	now = now.Add(missingGrace + time.Millisecond)
 	c.Assert(place(), qt.IsTrue)
 	s.onLogDown(now)
-	s.onLogUp(now)
+	s.onLogUp(now, now)
 	s.apply(keyed.Record{Key: "s-1"})
 	now = now.Add(missingGrace + time.Millisecond)
 	c.Assert(place(), qt.IsFalse)
 }
 
+// TestRemovalAfterSilentConnectionIsPutOff guards against orders that are lost at a server that has left, because an entry VM
+// whose own connections to the log had been silent takes its removal for a record that expired in an outage.
+func TestRemovalAfterSilentConnectionIsPutOff(t *testing.T) {
+	const heartbeat = 1200 * time.Millisecond
+	for silence, kept := range map[time.Duration]bool{time.Second: false, 2 * heartbeat: true} {
+		c := qt.New(t)
+		now := time.Unix(1000, 0)
+		cfg := Config{Decoder: jsonDecoder{}, Now: func() time.Time { return now }, Events: apexlog.Discard(), ServerHeartbeat: heartbeat}
+		s := newServerController(cfg, newFleetController(cfg))
+		s.snapshot([]keyed.Record{{Key: "s-1", Value: []byte(`{"ID":"s-1","Service":"s","Addr":"127.0.0.1:1"}`)}})
+		s.onLogDown(now)
+		silentSince := now
+		now = now.Add(silence)
+		s.onLogUp(silentSince, now)
+		s.apply(keyed.Record{Key: "s-1"})
+		_, placed := s.choose(placement.Request{Service: "s"})
+		c.Check(placed, qt.Equals, kept, qt.Commentf("%s", silence))
+	}
+}
+
+// TestFirstAnswerAfterOutageIsWaitedFor guards against a read that waits for a record although it isn't known yet whether the log
+// answers again.
+func TestFirstAnswerAfterOutageIsWaitedFor(t *testing.T) {
+	f := newFixture(t)
+	f.log.setDown(true)
+	time.Sleep(serverReadInterval + 2*retryPause)
+	f.log.mu.Lock()
+	clear(f.log.longestWaits)
+	f.log.mu.Unlock()
+	time.Sleep(4 * retryPause)
+	f.log.mu.Lock()
+	defer f.log.mu.Unlock()
+	wait, read := f.log.longestWaits[keyed.Servers]
+	f.c.Assert(read, qt.IsTrue)
+	f.c.Assert(wait, qt.Equals, time.Duration(0))
+}
+
 // TestFleetClock guards against trusting a clock that has jumped, and against trusting the fleet's time when too few
 // clocks are known.
 func TestFleetClock(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -165,6 +165,9 @@
 	Events  *apexlog.Logger
 	Metrics Metrics
 	Retries retry.WindowBudgetConfig
+	// ServerHeartbeat is the time between two records of a backend server. If it is 0, a record may expire in any outage of the
+	// log.
+	ServerHeartbeat time.Duration
 	// LedgerPartitions is the number of partitions of the ledger, the same on all entry VMs.
 	LedgerPartitions int
 	// Limits are the resources of this entry VM. Usage samples their use; without it overload isn't detected.
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -14,13 +14,18 @@
 )
 
 const (
-	// serverReadWait is how long a read waits for a change.
-	serverReadWait = time.Second
+	// serverReadWait is how long a read waits for a change. It is short, so that an entry VM that hears nothing because its
+	// connection is silent notices it before a record could expire.
+	serverReadWait = 500 * time.Millisecond
 	// serverReadInterval is the least time between two reads. Every server writes a record with each heartbeat; without a
 	// pause each record would cost every entry VM a read. Servers that drain or leave must be known within 2 s.
 	serverReadInterval = 250 * time.Millisecond
-	// missingGrace is how long servers whose records are missing are kept once the log is available again.
+	// missingGrace is how long servers whose records are missing are kept once the log is available again after an outage in
+	// which records may have expired.
 	missingGrace = 2 * time.Second
+	// minExpiryHeartbeats is the length of the shortest outage in which a record may expire, in heartbeats of the server. It
+	// expires after three without one, and the last one before an outage may be almost one old.
+	minExpiryHeartbeats = 2
 	// goneRetention is how long servers that have left are remembered. A log that is restored from a copy lists them again;
 	// copies are some seconds old.
 	goneRetention = 2 * time.Minute
@@ -93,11 +98,15 @@
 	s.logDown = true
 }
 
-func (s *serverController) onLogUp(now time.Time) {
+// onLogUp begins the grace period if records may have expired because the log was unavailable to the servers too. An entry VM
+// that lost only its own connections soon hears from the log again, and every removal that it reads then is a real one.
+func (s *serverController) onLogUp(silentSince, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.logDown = false
-	s.graceEnd = now.Add(missingGrace)
+	if now.Sub(silentSince) >= minExpiryHeartbeats*s.cfg.ServerHeartbeat {
+		s.graceEnd = now.Add(missingGrace)
+	}
 }
 
 // onEra gives servers time to write again what a restored log has lost.
