platform: what is held for all requests and answers together is bounded

Cause: each answer is bounded (head 64 kB, event 1 MB, whole answer 8 MB), their sum isn't, nor is that of the bodies of requests. A decoded head of short lines takes about 16 times its size.

Change: core/memory has the limiter of serve, with holdings that grow as bytes arrive; platform counts bodies, events and heads (at 16 times their size) before it keeps them. The limit is 30 percent of memory_mb. ibiswinch_held_bytes shows what is held.

Why it works: nothing grows without being counted. An answer that may not grow isn't taken for a crash of its server.

--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -19,6 +19,7 @@
 	"github.com/rotisserie/eris"
 
 	"ibiswinch/core/event"
+	"ibiswinch/core/memory"
 	"ibiswinch/core/overload"
 	"ibiswinch/core/retry"
 	"ibiswinch/gateway"
@@ -53,6 +54,8 @@
 	readsPerSecondPerPartition = 1000
 	// softMemoryPercent is the soft memory limit of the Go runtime in percent of the memory limit of the settings.
 	softMemoryPercent = 60
+	// heldMemoryPercent is the part of the memory limit of the settings that may be held for requests and answers, in percent.
+	heldMemoryPercent = 30
 	// gcPercent is the growth of the heap between two garbage collections, in percent.
 	gcPercent = 200
 	// watchInterval is the time between two checks of the settings file and the dropped log lines.
@@ -99,10 +102,12 @@
 	openConnections atomic.Int64
 	// traffic counts the bytes sent to and received from callers and servers.
 	traffic usage.Traffic
+	// memory counts the bytes that are held for requests and answers.
+	memory *memory.Limiter
 }
 
 func (c *platformCommand) newProcess(s platform.Settings) (*platformProcess, error) {
-	p := &platformProcess{settingsPath: c.Settings, settings: s}
+	p := &platformProcess{settingsPath: c.Settings, settings: s, memory: memory.NewLimiter(s.MemoryBytes * heldMemoryPercent / 100)}
 	p.logOutput = apexlog.NewRateLimitedWriter(apexlog.RateLimitedWriterConfig{
 		Output: os.Stdout, LinesPerSecond: logLinesPerSecond, BytesPerSecond: logBytesPerSecond, QueueCapacity: maxPendingLogLines, Now: time.Now,
 	})
@@ -116,7 +121,7 @@
 		return nil, err
 	}
 	p.metrics, err = prometheus.New(prometheus.Gauges{
-		OpenRequests: func() int64 { return p.gateway.OpenCalls() }, LivePeers: func() int64 { return int64(p.gateway.Members()) },
+		HeldBytes: p.memory.Held, OpenRequests: func() int64 { return p.gateway.OpenCalls() }, LivePeers: func() int64 { return int64(p.gateway.Members()) },
 		FreeTokens: func() int64 { return p.gateway.FreeTokens() }, DroppedLines: p.logOutput.Dropped,
 	})
 	if err != nil {
@@ -124,7 +129,7 @@
 	}
 	p.gateway = gateway.New(gateway.Config{
 		Name: s.Name, Incarnation: incarnation, Zone: s.Zone, Log: platform.NewStore(s.StoreAddress), Decoder: platform.Decoder{}, Encoder: platform.Encoder{},
-		Backend: platform.NewServerClient(time.Now, &p.traffic), Peers: peer.NewPoolClient(platform.PeerDialer()), Address: s.PeerAddress, Now: time.Now, Events: p.events, Metrics: p.metrics,
+		Backend: platform.NewServerClient(platform.ServerClientConfig{Now: time.Now, Traffic: &p.traffic, Memory: p.memory}), Peers: peer.NewPoolClient(platform.PeerDialer()), Address: s.PeerAddress, Now: time.Now, Events: p.events, Metrics: p.metrics,
 		Retries: retry.WindowBudgetConfig{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow}, ServerHeartbeat: s.ServerHeartbeat,
 		LedgerPartitions: max(min(int(s.StoreReadsPerSecond/readsPerSecondPerPartition), s.MaxPartitions), 1), Seed: uint64(time.Now().UnixNano()),
 		LogNearLimit: p.logOutput.NearLimit, Limits: overload.Limits{LinkBytesPerSecond: s.LinkBytesPerSecond, Cores: s.Cores}, Usage: p.sampleUsage, BytesSent: p.traffic.SentBytes,
@@ -188,7 +193,7 @@
 // startServers opens the listeners and serves them. It returns the server of the callers.
 func (p *platformProcess) startServers() (*http.Server, error) {
 	callerServer := &http.Server{
-		Handler:           &platform.CallerHandler{Gateway: p.gateway, Now: time.Now, ShouldCloseConnection: p.gateway.ShouldCloseConnection},
+		Handler:           &platform.CallerHandler{Gateway: p.gateway, Now: time.Now, ShouldCloseConnection: p.gateway.ShouldCloseConnection, Memory: p.memory},
 		ConnContext:       platform.ConnContext,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
 		ConnState: func(_ net.Conn, s http.ConnState) {
--- a/entry/relay/buffer.go
+++ b/entry/relay/buffer.go
@@ -5,66 +5,19 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 
 	"github.com/rotisserie/eris"
+
+	"ibiswinch/core/memory"
 )
 
 // ErrClosed is returned to the goroutine that reads from the engine when the caller has disconnected.
 var ErrClosed = eris.New("relay closed: the caller has disconnected")
 
-// MemoryLimiter counts the bytes that a process holds for its requests, and limits them.
-type MemoryLimiter struct {
-	held atomic.Int64
-	peak atomic.Int64
-	// limit is the most bytes to hold; new requests are refused above admitLimit.
-	limit, admitLimit int64
-}
-
-// admitPercent is the share of the limit up to which new requests are admitted. The rest is reserved for the requests
-// that are already admitted.
-const admitPercent = 90
-
-// NewMemoryLimiter returns a limiter with the given limit in bytes.
-func NewMemoryLimiter(limit int64) *MemoryLimiter {
-	return &MemoryLimiter{limit: limit, admitLimit: limit / 100 * admitPercent}
-}
-
-// Admit reserves n bytes for a new request and reports whether that was possible below the limit for new requests.
-func (m *MemoryLimiter) Admit(n int64) bool {
-	if m.add(n) > m.admitLimit {
-		m.held.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (m *MemoryLimiter) add(n int64) int64 {
-	held := m.held.Add(n)
-	for {
-		peak := m.peak.Load()
-		if held <= peak || m.peak.CompareAndSwap(peak, held) {
-			return held
-		}
-	}
-}
-
-// Release subtracts n bytes from the count.
-func (m *MemoryLimiter) Release(n int64) { m.held.Add(-n) }
-
-// Held returns the number of bytes held now.
-func (m *MemoryLimiter) Held() int64 { return m.held.Load() }
-
-// Peak returns the largest number of bytes that were held at a time.
-func (m *MemoryLimiter) Peak() int64 { return m.peak.Load() }
-
-// Limit returns the limit in bytes.
-func (m *MemoryLimiter) Limit() int64 { return m.limit }
-
 // Buffer is a bounded buffer with one writer and one reader. It keeps the whole text, since a stream that breaks is
 // resumed from the text so far.
 type Buffer struct {
-	memory *MemoryLimiter
+	memory *memory.Limiter
 	// maxUnsent is the number of bytes not yet sent to the caller from which the writer must wait.
 	maxUnsent int
 
@@ -83,8 +36,8 @@
 }
 
 // New returns an empty buffer that is full once it holds maxUnsent unsent bytes.
-func New(memory *MemoryLimiter, maxUnsent int) *Buffer {
-	return &Buffer{memory: memory, maxUnsent: maxUnsent, readable: make(chan struct{}, 1), writable: make(chan struct{}, 1)}
+func New(limiter *memory.Limiter, maxUnsent int) *Buffer {
+	return &Buffer{memory: limiter, maxUnsent: maxUnsent, readable: make(chan struct{}, 1), writable: make(chan struct{}, 1)}
 }
 
 func signal(c chan struct{}) {
@@ -105,7 +58,7 @@
 	b.text = append(b.text, chunk...)
 	if n := int64(cap(b.text)) - b.accounted; n > 0 {
 		// A chunk that is already read from the engine is kept even above the limit; full then stops further reads.
-		b.memory.add(n)
+		b.memory.Add(n)
 		b.accounted += n
 	}
 	if wasEmpty {
@@ -117,7 +70,7 @@
 // full is Full for a caller that holds mu.
 func (b *Buffer) full() bool {
 	unsent := len(b.text) - b.sent
-	return unsent >= b.maxUnsent || unsent > 0 && b.memory.Held() > b.memory.limit
+	return unsent >= b.maxUnsent || unsent > 0 && b.memory.Full()
 }
 
 // WaitForSpace returns when the buffer isn't full, is closed, or ctx ends. Only one goroutine may call it.
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -20,9 +20,9 @@
 
 	"ibiswinch/core/event"
 	"ibiswinch/core/membership"
+	"ibiswinch/core/memory"
 	"ibiswinch/core/record"
 	"ibiswinch/core/refusal"
-	"ibiswinch/entry/relay"
 	"ibiswinch/entry/stream"
 	"ibiswinch/io/apexlog"
 	"ibiswinch/io/openai"
@@ -90,7 +90,7 @@
 	cfg     Config
 	events  *apexlog.Logger
 	metrics *prometheus.Metrics
-	memory  *relay.MemoryLimiter
+	memory  *memory.Limiter
 
 	peers      *peerController
 	configs    *configController
@@ -121,7 +121,7 @@
 
 // New returns an entry VM that isn't running yet.
 func New(cfg Config) (*VM, error) {
-	vm := &VM{cfg: cfg, events: cfg.Events, memory: relay.NewMemoryLimiter(cfg.MaxHeldBytes), aborted: make(chan struct{})}
+	vm := &VM{cfg: cfg, events: cfg.Events, memory: memory.NewLimiter(cfg.MaxHeldBytes), aborted: make(chan struct{})}
 	vm.peers = newPeerController(cfg, vm.events)
 	vm.budget = newBudgetController(cfg, vm.peers, vm.events)
 	vm.bills = newBillController(cfg, vm.peers, vm.budget, vm.events)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -11,6 +11,7 @@
 
 	"ibiswinch/core/call"
 	"ibiswinch/core/event"
+	"ibiswinch/core/memory"
 	"ibiswinch/core/placement"
 	"ibiswinch/core/refusal"
 	"ibiswinch/core/rollout"
@@ -219,6 +220,9 @@
 		result.outcome, result.notRun, result.arrived = failed.Outcome, failed.NotRun, !failed.NotRun
 	}
 	switch {
+	case errors.Is(err, memory.ErrFull):
+		// The server may be sound, so it isn't taken for one that crashed.
+		result.outcome = placement.Failed
 	case ctx.Err() != nil:
 		result.outcome = placement.Cancelled
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
