roundtrip: the head of an engine's answer is bounded

Cause: http.Transport reads a head of up to 10 MB by default.

Why it works: a head ends with an error after 64 kB, as on the users' platform; the number of requests is bounded by maxStreams.

--- a/io/internal/roundtrip/roundtrip.go
+++ b/io/internal/roundtrip/roundtrip.go
@@ -19,6 +19,8 @@
 	// idleTimeout is below the idle timeout of most servers, so that few requests use a connection that the server is
 	// about to close.
 	idleTimeout = 30 * time.Second
+	// maxHeadBytes bounds the head of an answer, interim answers included.
+	maxHeadBytes = 64 << 10
 )
 
 // ErrInvalidContent means that a body was read but violates the protocol.
@@ -64,6 +66,8 @@
 		DisableCompression:  true,
 		ReadBufferSize:      o.ReadBuffer,
 		WriteBufferSize:     o.WriteBuffer,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
