cmd/ibiswinch: a stop within a short grace period leaves accepted calls time to end

What callers saw (report of another operator): requests that came late in the grace of a planned stop were passed on and cut at its end. Here: 502 for orders that had been passed on, with grace periods of 2 and 3 s.

Cause: new calls were accepted for 2.6 s, or until the open ones are given up if that is earlier, so that the last ones had no time.

Evidence: TestLateRequestsOfStopAreCut (a process, eight callers that keep connections until it is gone) fails before with 2 and 3 s and holds with 5 and 8 s; after the change it passed 3 of 3 with all four.

Why it works: calls are accepted for 40 percent of the time until open ones are given up, at most 2.6 s as before. Grace periods from 7.4 s on, as on all current deployments, aren't affected.

--- a/cmd/ibiswinch/drain.go
+++ b/cmd/ibiswinch/drain.go
@@ -13,8 +13,10 @@
 
 const (
 	// drainDelay is how long a stopping process accepts new calls, until the load balancer has seen that it isn't
-	// ready. Calls that came later could outlast the grace period.
-	drainDelay = 2600 * time.Millisecond
+	// ready. Calls that came later could outlast the grace period. In a short one, new calls are accepted for drainPercent of the
+	// time until the open ones are given up, so that most of it is left for them to end.
+	drainDelay   = 2600 * time.Millisecond
+	drainPercent = 40
 	// closeIdleDelay is the time from the start of a stop until idle connections are closed.
 	closeIdleDelay = 3500 * time.Millisecond
 	// drainPollInterval is how often a stopping process checks whether its connections are closed.
@@ -38,7 +40,7 @@
 	reserve := min(gracePeriod/exitReserveDivisor, maxExitReserve)
 	giveUpAt := start.Add(gracePeriod - reserve)
 	return drainTimes{
-		lastCallAt: start.Add(min(drainDelay, gracePeriod-reserve)), closeIdleAt: start.Add(closeIdleDelay), giveUpAt: giveUpAt,
+		lastCallAt: start.Add(min(drainDelay, (gracePeriod-reserve)*drainPercent/100)), closeIdleAt: start.Add(closeIdleDelay), giveUpAt: giveUpAt,
 		answeredAt: giveUpAt.Add(reserve * 2 / 8), returnedAt: giveUpAt.Add(reserve * 4 / 8), handedOverAt: giveUpAt.Add(reserve * 5 / 8),
 		exitAt: giveUpAt.Add(reserve * 6 / 8),
 	}
--- a/cmd/ibiswinch/memory_test.go
+++ b/cmd/ibiswinch/memory_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -55,7 +54,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			f := newPlatformFixture(t)
 			f.publishFaulty(f.startFaulty(test.start, test.rest, test.size), f.startFaulty(signed+"Content-Length: 4\r\n\r\n", "done", 4))
-			f.widenLink()
+			// No call is refused because the link is full.
+			f.changeSettings("link_mbps = 1000\n", "link_mbps = 1000000\n")
 			p := f.startProcess(binary, false)
 			f.awaitSound()
 			var wg sync.WaitGroup
@@ -80,14 +80,6 @@
 	}
 }
 
-// widenLink changes the settings so that no call is refused because the link is full.
-func (f *platformFixture) widenLink() {
-	settings, err := os.ReadFile(f.settingsPath)
-	f.c.Assert(err, qt.IsNil)
-	settings = bytes.Replace(settings, []byte("link_mbps = 1000\n"), []byte("link_mbps = 1000000\n"), 1)
-	f.c.Assert(os.WriteFile(f.settingsPath, settings, 0o600), qt.IsNil)
-}
-
 // publishFaulty publishes a route to a faulty server and one to a sound one.
 func (f *platformFixture) publishFaulty(faulty, sound string) {
 	route := func(name string, timeout time.Duration) map[string]any {
--- a/cmd/ibiswinch/platform_test.go
+++ b/cmd/ibiswinch/platform_test.go
@@ -121,6 +121,14 @@
 `, ip, ip, ip, testGracePeriod.Seconds(), store)
 }
 
+// changeSettings replaces a part of the settings file.
+func (f *platformFixture) changeSettings(from, to string) {
+	settings, err := os.ReadFile(f.settingsPath)
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(strings.Contains(string(settings), from), qt.IsTrue)
+	f.c.Assert(os.WriteFile(f.settingsPath, []byte(strings.Replace(string(settings), from, to, 1)), 0o600), qt.IsNil)
+}
+
 func (f *platformFixture) publish(backend string) {
 	config, err := json.Marshal(map[string]any{
 		"version": 3,
--- a/cmd/ibiswinch/stop_test.go
+++ b/cmd/ibiswinch/stop_test.go
@@ -1,15 +1,19 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -179,3 +183,92 @@
 		}
 	}
 }
+
+// orderTime is how long the server of startWorking works on a request.
+const orderTime = 400 * time.Millisecond
+
+// TestLateRequestsOfStopAreCut guards against a stopping process that takes requests and passes them on shortly before it gives up
+// what is open. Their callers keep connections open until the process is gone.
+func TestLateRequestsOfStopAreCut(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "ibiswinch")
+	out, err := exec.Command("go", "build", "-o", binary, "ibiswinch/cmd/ibiswinch").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	for _, gracePeriod := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second, 8 * time.Second} {
+		t.Run(gracePeriod.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newPlatformFixture(t)
+			f.changeSettings(fmt.Sprintf("grace_period_s = %g\n", testGracePeriod.Seconds()), fmt.Sprintf("grace_period_s = %g\n", gracePeriod.Seconds()))
+			var runs sync.Map
+			f.publishFaulty(f.startWorking(&runs), f.startWorking(&runs))
+			p := f.startProcess(binary, false)
+			f.awaitSound()
+			runs.Clear()
+			var answers sync.Map
+			var wg sync.WaitGroup
+			for i := range 8 {
+				wg.Go(func() { f.sendUntilGone(fmt.Sprintf("caller-%d", i), &answers) })
+			}
+			time.Sleep(500 * time.Millisecond)
+			f.c.Assert(p.cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+			wg.Wait()
+			<-p.exited
+			runs.Range(func(id, _ any) bool {
+				line, _ := answers.Load(id)
+				f.c.Check(line, qt.Equals, "HTTP/1.1 200 OK", qt.Commentf("%s, which was passed on", id))
+				return true
+			})
+		})
+	}
+}
+
+// startWorking starts a server that works for orderTime on each request, and stores the ids of the requests.
+func (f *platformFixture) startWorking(runs *sync.Map) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Store(r.Header.Get("Request-Id"), true)
+		time.Sleep(orderTime)
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Response-Seal", "seal")
+		_, _ = w.Write([]byte("done"))
+	}))
+	f.c.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// sendUntilGone sends requests one after the other, on the same connection as long as it is open, until none is accepted. It
+// stores the status lines by the ids of the requests.
+func (f *platformFixture) sendUntilGone(name string, answers *sync.Map) {
+	for i := 0; ; {
+		conn, err := net.Dial("tcp4", f.front)
+		if err != nil {
+			return
+		}
+		_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
+		reader := bufio.NewReader(conn)
+		for err == nil {
+			i++
+			err = sendKept(conn, reader, fmt.Sprintf("%s-%d", name, i), answers)
+		}
+		_ = conn.Close()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// sendKept sends one request on a connection that stays open. It fails if the connection ends or is to be closed.
+func sendKept(conn net.Conn, reader *bufio.Reader, id string, answers *sync.Map) error {
+	_, err := fmt.Fprintf(conn, "POST /sound/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\nAuthorization: Bearer key-1\r\nToken-Counts: 10,10\r\nContent-Length: 2\r\n\r\nok", id)
+	if err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	answers.Store(id, resp.Proto+" "+resp.Status)
+	if resp.Close {
+		return io.EOF
+	}
+	return nil
+}
