gateway, escrow: what a restored log has lost is rewritten, in the usual word

Reservations were "put back" and "restated" in gateway and escrow, while servers.go rewrote records. Now all of it is called a rewrite: types, files, events and comments. No code changed otherwise; the tests of gateway for restored logs, of escrow, events and docs passed.

--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -72,8 +72,8 @@
 	sequence, era uint64
 	// sharing bounds what may be spent to what the fleet can't forget; nil if the whole reservation may be spent at once.
 	sharing *sharing
-	// unstated is set if the store was restored from a copy and may lack the confirmed record.
-	unstated bool
+	// needsRewrite is set if the store was restored from a copy and may lack the confirmed record.
+	needsRewrite bool
 
 	// spent is the use of finished calls, held is set aside for running calls. credit is what other entry VMs gave to
 	// this account minus what it gave to them; the giver charges it to its own reservation.
@@ -308,18 +308,18 @@
 	}
 	a.pending = nil
 	a.sharing.restored()
-	a.unstated = a.writeAccepted
+	a.needsRewrite = a.writeAccepted
 }
 
 // HasWritten reports whether the store has accepted a write of this process.
 func (a *Account) HasWritten() bool { return a.writeAccepted }
 
-// Unstated reports whether the store may lack the record of this process, so that Restate must be written.
-func (a *Account) Unstated() bool { return a.unstated }
+// NeedsRewrite reports whether the store may lack the record of this process, so that Rewrite must be written.
+func (a *Account) NeedsRewrite() bool { return a.needsRewrite }
 
-// Restate returns the write that puts the record of this process back into a restored store. It neither reserves nor
+// Rewrite returns the write that rewrites the record of this process into a restored store. It neither reserves nor
 // returns tokens, so it may be written whatever the others have written.
-func (a *Account) Restate(at time.Time) Plan {
+func (a *Account) Rewrite(at time.Time) Plan {
 	r := a.confirmed
 	r.Base, r.Used, r.Credit, r.At, r.Sequence, r.Era = a.charged(), a.spent, a.credit, at.UnixMilli(), a.sequence+1, a.era
 	return Plan{Reason: Refresh, Record: r}
@@ -336,8 +336,8 @@
 	case i >= 0:
 		a.confirmed, a.sentAt, a.writeAccepted = r, a.pending[i].sentAt, true
 		a.sharing.confirm(r)
-		a.unstated = false
-		// An earlier restatement reserves and returns nothing, so it doesn't matter when it is applied.
+		a.needsRewrite = false
+		// An earlier rewrite reserves and returns nothing, so it doesn't matter when it is applied.
 		a.pending = slices.DeleteFunc(a.pending, func(w pendingWrite) bool {
 			return w.record == r || w.expectedEnd == Unconditional && w.record.Sequence < r.Sequence
 		})
--- a/core/escrow/pending_test.go
+++ b/core/escrow/pending_test.go
@@ -23,9 +23,9 @@
 	c.Assert(a.Available(now), qt.Equals, int64(3000))
 }
 
-// TestRestatedReservationIsStuck guards against an account whose tokens stay out of reach once it has written its record
+// TestRewrittenReservationIsStuck guards against an account whose tokens stay out of reach once it has written its record
 // again into a restored store.
-func TestRestatedReservationIsStuck(t *testing.T) {
+func TestRewrittenReservationIsStuck(t *testing.T) {
 	c := qt.New(t)
 	const limit = 100_000
 	policy := escrow.Policy{IdleReserve: 3000, MaxBurst: 50_000, MinRate: 400, RefreshInterval: time.Second}
@@ -39,18 +39,18 @@
 	}
 	write(a.Plan(now, now, policy, limit, &reservations), 0, 1)
 	a.Restored(2)
-	// The outcome of the first restatement stays unknown.
-	a.WriteSent(now, escrow.Unconditional, a.Restate(now).Record)
-	write(a.Restate(now), escrow.Unconditional, 2)
-	c.Assert(a.Unstated(), qt.IsFalse)
+	// The outcome of the first rewrite stays unknown.
+	a.WriteSent(now, escrow.Unconditional, a.Rewrite(now).Record)
+	write(a.Rewrite(now), escrow.Unconditional, 2)
+	c.Assert(a.NeedsRewrite(), qt.IsFalse)
 	a.AddWaiting(9000)
 	write(a.Plan(now, now, policy, limit, &reservations), 2, 3)
 	c.Assert(a.Admit(now, 9000), qt.IsTrue)
 }
 
-// TestRecordPutBackByOthersIsIgnored guards against a process that forgets what its predecessor used, as the others put its
+// TestRecordRewrittenByOthersIsIgnored guards against a process that forgets what its predecessor used, as the others put its
 // record back only after a second restoration.
-func TestRecordPutBackByOthersIsIgnored(t *testing.T) {
+func TestRecordRewrittenByOthersIsIgnored(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	old := escrow.Record{Reserved: 5000, Base: 4000, Used: 4000, At: now.UnixMilli(), Sequence: 7, Era: 1}
--- a/core/escrow/putback_test.go
+++ b/core/escrow/rewrite_test.go
@@ -10,7 +10,7 @@
 	"ibiswinch/core/escrow"
 )
 
-// restoreModel is a model whose store is restored from copies. Between a copy and the end of the put-back after the
+// restoreModel is a model whose store is restored from copies. Between a copy and the end of the rewrite after the
 // restoration from it, one process is killed at most: a second one may have been the only one that knew the record of the
 // first.
 type restoreModel struct {
@@ -21,11 +21,11 @@
 	copied  []time.Time
 	killed  bool
 	eras    map[*holder]uint64
-	putBack map[*holder]*escrow.PutBack
+	rewrite map[*holder]*escrow.Rewrite
 }
 
 func newRestoreModel(t *rapid.T) *restoreModel {
-	w := &restoreModel{model: newModel(t), eras: map[*holder]uint64{}, putBack: map[*holder]*escrow.PutBack{}}
+	w := &restoreModel{model: newModel(t), eras: map[*holder]uint64{}, rewrite: map[*holder]*escrow.Rewrite{}}
 	for _, h := range w.holders {
 		h.account.RequireSharing()
 		w.begin(h, w.now.Add(-time.Hour))
@@ -34,8 +34,8 @@
 }
 
 func (w *restoreModel) begin(h *holder, at time.Time) {
-	w.putBack[h] = &escrow.PutBack{}
-	w.putBack[h].Begin(at, w.era)
+	w.rewrite[h] = &escrow.Rewrite{}
+	w.rewrite[h].Begin(at, w.era)
 	w.eras[h] = w.era
 }
 
@@ -73,23 +73,23 @@
 func (w *restoreModel) read(h *holder) {
 	if w.eras[h] != w.era {
 		w.eras[h] = w.era
-		w.putBack[h].Begin(w.now, w.era)
+		w.rewrite[h].Begin(w.now, w.era)
 		h.account.Restored(w.era)
 	}
 	for name := range h.reservations.Holders() {
 		if _, found := w.store.records[name]; !found {
-			w.putBack[h].Observe(name, true)
+			w.rewrite[h].Observe(name, true)
 		}
 	}
 	for name, r := range w.store.records {
-		w.putBack[h].Observe(name, !h.reservations.Set(name, r))
+		w.rewrite[h].Observe(name, !h.reservations.Set(name, r))
 	}
 	h.next = w.store.end
 	h.account.Observe(h.reservations.Record(h.name), h.next)
 }
 
 func (w *restoreModel) isDone(h *holder) bool {
-	return w.eras[h] == w.era && w.putBack[h].IsDone() && !h.account.Unstated()
+	return w.eras[h] == w.era && w.rewrite[h].IsDone() && !h.account.NeedsRewrite()
 }
 
 func (w *restoreModel) allDone() bool {
@@ -101,20 +101,20 @@
 	return true
 }
 
-// write puts back what is missing, and writes as the embedded model does once that is allowed.
+// write rewrites what is missing, and writes as the embedded model does once that is allowed.
 func (w *restoreModel) write(t *rapid.T, h *holder) {
 	w.read(h)
-	if h.account.Unstated() {
-		w.restate(t, h)
+	if h.account.NeedsRewrite() {
+		w.rewriteOwn(t, h)
 		return
 	}
-	for _, name := range w.putBack[h].Stale(w.now) {
+	for _, name := range w.rewrite[h].Stale(w.now) {
 		if w.store.append(name, h.reservations.Record(name), h.next) {
 			h.next++
-			w.putBack[h].Observe(name, false)
+			w.rewrite[h].Observe(name, false)
 		}
 	}
-	if !w.putBack[h].MayReserve(w.now, w.allDone()) || h.account.Unstated() {
+	if !w.rewrite[h].MayReserve(w.now, w.allDone()) || h.account.NeedsRewrite() {
 		return
 	}
 	if r, inherited := h.account.PendingRecovery(); inherited && r.Era != w.era {
@@ -137,9 +137,9 @@
 	}
 }
 
-// restate writes the own record again, on no condition.
-func (w *restoreModel) restate(t *rapid.T, h *holder) {
-	plan := h.account.Restate(w.now)
+// rewriteOwn writes the own record again, on no condition.
+func (w *restoreModel) rewriteOwn(t *rapid.T, h *holder) {
+	plan := h.account.Rewrite(w.now)
 	h.account.WriteSent(w.now, escrow.Unconditional, plan.Record)
 	switch rapid.SampledFrom([]string{"answered", "answered", "answer lost", "lost"}).Draw(t, "outcome") {
 	case "answered":
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -114,14 +114,14 @@
 
 // Token reservations: 420 to 439, within the range of budgets.
 var (
-	ReservationChanged   = Event{420, Info, "reservation changed"}
-	ReservationRecovered = Event{421, Info, "unused reservation of the previous process recovered"}
-	ReservationFailed    = Event{422, Warn, "write of a reservation not confirmed by the log"}
-	ReservationTooSmall  = Event{423, Info, "reservation too small for a request"}
-	TokensDrawn          = Event{424, Info, "tokens drawn from other entry VMs"}
-	TokensHandedOver     = Event{425, Info, "unused tokens handed to another entry VM"}
-	ReservationsPutBack  = Event{426, Info, "reservations written again into a restored log"}
-	ReservingAgain       = Event{427, Info, "all entry VMs have put back their reservations, tokens are reserved again"}
+	ReservationChanged    = Event{420, Info, "reservation changed"}
+	ReservationRecovered  = Event{421, Info, "unused reservation of the previous process recovered"}
+	ReservationFailed     = Event{422, Warn, "write of a reservation not confirmed by the log"}
+	ReservationTooSmall   = Event{423, Info, "reservation too small for a request"}
+	TokensDrawn           = Event{424, Info, "tokens drawn from other entry VMs"}
+	TokensHandedOver      = Event{425, Info, "unused tokens handed to another entry VM"}
+	ReservationsRewritten = Event{426, Info, "reservations written again into a restored log"}
+	ReservingAgain        = Event{427, Info, "all entry VMs have rewritten their reservations, tokens are reserved again"}
 )
 
 // Load of the entry VM: 780 to 799.
@@ -147,7 +147,7 @@
 		ConfigActivated, ConfigFromPeer, ConfigRejected,
 		HolderClosed, HolderSealed, BillLineNotReplicated, BillLinesRecovered, PendingBillsFull, BudgetExhausted, DuplicateBill,
 		ReservationChanged, ReservationRecovered, ReservationFailed, ReservationTooSmall,
-		TokensDrawn, TokensHandedOver, ReservationsPutBack, ReservingAgain,
+		TokensDrawn, TokensHandedOver, ReservationsRewritten, ReservingAgain,
 		OrderOutcomeUnknown, OrderWithdrawn, ChangeStopped, ChangeTakenBack, ChangeDone, RolloutOrdered, RolloutNotWritten,
 		ServerCrashed, StreamResumed, StreamSuspended, RequestFailed, RequestQuarantined, MemoryFull, QuarantineEnded, CrashesNotPublished,
 		ServerUpdated, ServerRemoved, ServerPaused, ServerLimited, OldServerIgnored, ServerLeaving, ServerWait, ServerKept,
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -118,9 +118,9 @@
 	}
 }
 
-// isPuttingBack reports whether reservations are being put back into a restored log.
-func (b *budgetController) isPuttingBack() bool {
-	return slices.ContainsFunc(b.partitions, (*ledgerPartition).isPuttingBack)
+// isRewriting reports whether reservations are being rewritten into a restored log.
+func (b *budgetController) isRewriting() bool {
+	return slices.ContainsFunc(b.partitions, (*ledgerPartition).isRewriting)
 }
 
 // restoredEra is the latest era in which all partitions that were read have had all the records that this entry VM knows,
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -120,7 +120,7 @@
 	started time.Time
 	// servers has the limits to tell the others. It is set before loop.
 	servers *serverController
-	// rollouts has the evidence to tell the others, budgets what was put back into the ledger. They are set before loop.
+	// rollouts has the evidence to tell the others, budgets what was rewritten into the ledger. They are set before loop.
 	rollouts *rolloutController
 	budgets  *budgetController
 	// announceNow requests an early heartbeat: another entry VM has started and needs this one's state, or this one stops.
@@ -188,8 +188,8 @@
 	if f.cfg.Now().Sub(f.started) < startupPeriod {
 		return startupReadInterval
 	}
-	if f.budgets.isPuttingBack() {
-		return max(startupReadInterval, time.Duration(f.count())*putBackIntervalPerVM)
+	if f.budgets.isRewriting() {
+		return max(startupReadInterval, time.Duration(f.count())*rewriteIntervalPerVM)
 	}
 	return f.nextInterval(max(readInterval, time.Duration(f.count())*heartbeatIntervalPerVM/2))
 }
@@ -394,7 +394,7 @@
 	}
 }
 
-// haveRestored reports whether the others have put back what they know in an era of the log. An entry VM that remembers an
+// haveRestored reports whether the others have rewritten what they know in an era of the log. An entry VM that remembers an
 // earlier era knows who they are. Any other one relies on those that do, as the list of entry VMs may be restored as
 // well. In the first era nothing was lost.
 func (f *fleetController) haveRestored(era keyed.Era, remembers bool) bool {
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -37,9 +37,9 @@
 	mu sync.Mutex
 	// ready is set once the partition has been read.
 	ready bool
-	// putBack is what has to be written again after the log was restored from a copy. mayReserve is set while tokens may be
+	// rewrite is what has to be written again after the log was restored from a copy. mayReserve is set while tokens may be
 	// reserved, restoreAnnounced once all was written again in the era.
-	putBack                      escrow.PutBack
+	rewrite                      escrow.Rewrite
 	mayReserve, restoreAnnounced bool
 	// eraRead is set once the first snapshot of the era was applied, remembersEra if tokens could be reserved in an earlier
 	// era in which all entry VMs were listed.
@@ -85,7 +85,7 @@
 func (lp *ledgerPartition) account(team string) *escrow.Account {
 	a := lp.accounts[team]
 	if a == nil {
-		a = escrow.NewAccount(lp.budgets.cfg.Now(), lp.budgets.cfg.Name, lp.recordsOf(team).Record(lp.budgets.cfg.Name), lp.putBack.Era())
+		a = escrow.NewAccount(lp.budgets.cfg.Now(), lp.budgets.cfg.Name, lp.recordsOf(team).Record(lp.budgets.cfg.Name), lp.rewrite.Era())
 		if lp.budgets.cfg.Peers != nil {
 			a.RequireSharing()
 		}
@@ -102,7 +102,7 @@
 	if !inherited {
 		return
 	}
-	if record.Era != lp.putBack.Era() {
+	if record.Era != lp.rewrite.Era() {
 		// Its newest record may be lost with the log of an earlier era.
 		if lp.mayReserve {
 			a.Forfeit()
@@ -269,7 +269,7 @@
 	for team, known := range lp.teamRecords {
 		for holder := range known.Holders() {
 			if key := ledgerKey(team, holder); !listed[key] {
-				lp.putBack.Observe(key, true)
+				lp.rewrite.Observe(key, true)
 			}
 		}
 	}
@@ -291,5 +291,5 @@
 		lp.budgets.cfg.Events.Event(event.RecordSkipped, apexlog.Fields{"key": r.Key, "offset": r.Offset})
 		return
 	}
-	lp.putBack.Observe(r.Key, !lp.recordsOf(team).Set(holder, record))
+	lp.rewrite.Observe(r.Key, !lp.recordsOf(team).Set(holder, record))
 }
--- a/gateway/renew.go
+++ b/gateway/renew.go
@@ -34,8 +34,8 @@
 
 // renewInterval is the time until the next renewal that no call waits for.
 func (lp *ledgerPartition) renewInterval() time.Duration {
-	if lp.isPuttingBack() {
-		return max(putBackInterval, time.Duration(lp.budgets.fleet.count())*putBackIntervalPerVM)
+	if lp.isRewriting() {
+		return max(rewriteInterval, time.Duration(lp.budgets.fleet.count())*rewriteIntervalPerVM)
 	}
 	return lp.writeInterval()
 }
@@ -85,7 +85,7 @@
 func (lp *ledgerPartition) renew(ctx context.Context) error {
 	lp.ioMu.Lock()
 	defer lp.ioMu.Unlock()
-	if lp.closed || lp.accountsCreated && !lp.needsWrite() && !lp.hasUnshared() && !lp.isPuttingBack() && !lp.eraChanged.Load() || lp.waitsForOthers() {
+	if lp.closed || lp.accountsCreated && !lp.needsWrite() && !lp.hasUnshared() && !lp.isRewriting() && !lp.eraChanged.Load() || lp.waitsForOthers() {
 		return nil
 	}
 	defer lp.endRenewal()
@@ -219,7 +219,7 @@
 func (lp *ledgerPartition) confirm(p plan, end uint64) {
 	lp.recordsOf(p.team).Set(lp.budgets.cfg.Name, p.Record)
 	lp.accounts[p.team].Observe(p.Record, end)
-	lp.putBack.Observe(ledgerKey(p.team, lp.budgets.cfg.Name), false)
+	lp.rewrite.Observe(ledgerKey(p.team, lp.budgets.cfg.Name), false)
 }
 
 func encodeReservation(team, holder string, r escrow.Record) (keyed.Record, error) {
@@ -241,7 +241,7 @@
 	}
 }
 
-// returnReservations returns all unused tokens to the ledger, after it has put back the records that a restored log lacks.
+// returnReservations returns all unused tokens to the ledger, after it has rewritten the records that a restored log lacks.
 // There are no renewals afterwards.
 func (lp *ledgerPartition) returnReservations(ctx context.Context) error {
 	lp.ioMu.Lock()
@@ -256,7 +256,7 @@
 		if !lp.follow.started {
 			continue
 		}
-		if err = lp.restateMissing(ctx); err != nil {
+		if err = lp.rewriteMissing(ctx); err != nil {
 			if ctx.Err() != nil {
 				break
 			}
@@ -277,7 +277,7 @@
 	return err
 }
 
-// closingPlans returns the changes that return the unused tokens of all accounts. While reservations are put back, a process
+// closingPlans returns the changes that return the unused tokens of all accounts. While reservations are rewritten, a process
 // that hasn't written returns nothing: the newest record of the process before it may not be back yet, and a newer one would
 // void it.
 func (lp *ledgerPartition) closingPlans() []plan {
@@ -286,7 +286,7 @@
 	var plans []plan
 	for _, team := range slices.Sorted(maps.Keys(lp.accounts)) {
 		a := lp.accounts[team]
-		if _, inherited := a.PendingRecovery(); inherited || a.Reserved() == a.Used() && !a.Unstated() {
+		if _, inherited := a.PendingRecovery(); inherited || a.Reserved() == a.Used() && !a.NeedsRewrite() {
 			continue
 		}
 		if !lp.mayReserve && !a.HasWritten() {
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -117,7 +117,7 @@
 	f.log.restore(ends, nil)
 	for range 2 {
 		sum += f.spend(200_000, other, f.gateway)
-		f.waitWithin(2*escrow.PutBackTimeout, "reserving again", func() bool { return !f.gateway.budgets.isPuttingBack() && !other.budgets.isPuttingBack() })
+		f.waitWithin(2*escrow.RewriteTimeout, "reserving again", func() bool { return !f.gateway.budgets.isRewriting() && !other.budgets.isRewriting() })
 	}
 	f.c.Assert(sum <= 100_000, qt.IsTrue, qt.Commentf("%d tokens", sum))
 	next := f.start("vm-3")
@@ -130,14 +130,14 @@
 func TestProcessStartsIntoEmptyLedger(t *testing.T) {
 	f, _ := newRestoredFixture(t)
 	f.log.setEra(5)
-	f.waitFor("era", func() bool { return !f.gateway.budgets.isPuttingBack() && *f.gateway.budgets.restoredEra() == 5 })
+	f.waitFor("era", func() bool { return !f.gateway.budgets.isRewriting() && *f.gateway.budgets.restoredEra() == 5 })
 	sum := f.spend(60_000, f.gateway)
 	f.log.restore(nil, nil)
 	// The word of a process that has just started as well says nothing about the others.
 	started, also := f.start("vm-3"), f.start("vm-4")
-	f.waitWithin(2*escrow.PutBackTimeout, "reserving again", func() bool {
+	f.waitWithin(2*escrow.RewriteTimeout, "reserving again", func() bool {
 		sum += f.spend(200_000, started, also)
-		return !started.budgets.isPuttingBack() && !f.gateway.budgets.isPuttingBack()
+		return !started.budgets.isRewriting() && !f.gateway.budgets.isRewriting()
 	})
 	sum += f.spend(200_000, started, also, f.gateway)
 	f.c.Assert(sum <= 100_000, qt.IsTrue, qt.Commentf("%d tokens", sum))
@@ -176,7 +176,7 @@
 }
 
 // TestStopForgetsDeadHolder guards against a reservation of a dead process that is lost because the only process that
-// knows it stops before it has put it back.
+// knows it stops before it has rewritten it.
 func TestStopForgetsDeadHolder(t *testing.T) {
 	f := newFixtureWith(t, answerAll)
 	other, stop := f.startStoppable("vm-2")
@@ -188,9 +188,9 @@
 	f.c.Assert(f.ledgerRecord("team/vm-3").Reserved >= sum, qt.IsTrue)
 }
 
-// TestWaitingProcessIgnoresPutBack guards against a reservation of a dead process that is lost because a process that
-// waits for others doesn't read what one of them has put back.
-func TestWaitingProcessIgnoresPutBack(t *testing.T) {
+// TestWaitingProcessIgnoresRewrite guards against a reservation of a dead process that is lost because a process that
+// waits for others doesn't read what one of them has rewritten.
+func TestWaitingProcessIgnoresRewrite(t *testing.T) {
 	f := newFixtureWith(t, answerAll)
 	other, stop := f.startStoppable("vm-2")
 	f.waitForMembers(f.gateway, other)
@@ -203,15 +203,15 @@
 	f.waitFor("record of vm-3 in the next era", func() bool { return f.ledgerRecord("team/vm-3").Reserved >= sum })
 }
 
-// TestStopVoidsPutBack guards against a process that starts in an era in which the newest reservation of the process before
+// TestStopVoidsRewrite guards against a process that starts in an era in which the newest reservation of the process before
 // it isn't back yet, and at its planned stop writes an older one with a newer number.
-func TestStopVoidsPutBack(t *testing.T) {
+func TestStopVoidsRewrite(t *testing.T) {
 	f := newFixtureWith(t, answerAll)
 	f.waitForMembers(f.gateway)
 	f.log.setEra(5)
-	f.waitFor("era", func() bool { return !f.gateway.budgets.isPuttingBack() && *f.gateway.budgets.restoredEra() == 5 })
+	f.waitFor("era", func() bool { return !f.gateway.budgets.isRewriting() && *f.gateway.budgets.restoredEra() == 5 })
 	other := f.start("vm-2")
-	f.waitFor("reserving", func() bool { return !other.budgets.isPuttingBack() })
+	f.waitFor("reserving", func() bool { return !other.budgets.isRewriting() })
 	f.waitForMembers(other)
 	// The process before vm-3 had tokens of others and has stopped, so that no unused ones are left to be recovered.
 	f.log.put(keyed.Ledger, "team/vm-3", escrow.Record{Reserved: 1000, Base: 1000, Used: 3000, Credit: 2000, At: time.Now().UnixMilli(), Era: 5})
@@ -228,7 +228,7 @@
 	f.waitFor("record of vm-3", func() bool { return f.ledgerRecord("team/vm-3").Reserved >= sum })
 }
 
-// TestUnlistedMembersAreTrusted guards against a process that reserves tokens because all whom it knows have put back their
+// TestUnlistedMembersAreTrusted guards against a process that reserves tokens because all whom it knows have rewritten their
 // reservations, although it had just begun to read the list of entry VMs when the log was restored.
 func TestUnlistedMembersAreTrusted(t *testing.T) {
 	f := newFixture(t)
@@ -401,7 +401,7 @@
 	return latest.Rule.New
 }
 
-// TestUnsettledProcessTrustsItself guards against a process that reserves tokens because all whom it knows have put back
+// TestUnsettledProcessTrustsItself guards against a process that reserves tokens because all whom it knows have rewritten
 // their reservations, although it started into a restored log and doesn't know everyone.
 func TestUnsettledProcessTrustsItself(t *testing.T) {
 	f := newFixture(t)
--- a/gateway/putback.go
+++ b/gateway/rewrite.go
@@ -17,26 +17,26 @@
 )
 
 const (
-	// putBackInterval is the time between two renewals while reservations are put back into a restored log, in a small
-	// fleet; putBackIntervalPerVM times the number of entry VMs is the least one.
-	putBackInterval      = 100 * time.Millisecond
-	putBackIntervalPerVM = 2 * time.Millisecond
-	// putBackReadInterval is the time between two reads of what others put back, in a small fleet; putBackReadIntervalPerVM
+	// rewriteInterval is the time between two renewals while reservations are rewritten into a restored log, in a small
+	// fleet; rewriteIntervalPerVM times the number of entry VMs is the least one.
+	rewriteInterval      = 100 * time.Millisecond
+	rewriteIntervalPerVM = 2 * time.Millisecond
+	// rewriteReadInterval is the time between two reads of what others rewrite, in a small fleet; rewriteReadIntervalPerVM
 	// times the number of entry VMs is the least one.
-	putBackReadInterval      = 300 * time.Millisecond
-	putBackReadIntervalPerVM = 20 * time.Millisecond
-	// maxPutBackRecords bounds the records of one append, so that it stays far below the store's limit of 2 MB.
-	maxPutBackRecords = 2000
+	rewriteReadInterval      = 300 * time.Millisecond
+	rewriteReadIntervalPerVM = 20 * time.Millisecond
+	// maxRewriteRecords bounds the records of one append, so that it stays far below the store's limit of 2 MB.
+	maxRewriteRecords = 2000
 )
 
-// beginEra prepares for the first snapshot of an era. A process that has read no earlier era has nothing to put back, and one
+// beginEra prepares for the first snapshot of an era. A process that has read no earlier era has nothing to rewrite, and one
 // that hadn't learned of all entry VMs there doesn't know whom to wait for.
 func (lp *ledgerPartition) beginEra(now time.Time, restored bool) {
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
 	era := uint64(lp.follow.era)
 	lp.remembersEra = restored && lp.lastSettledEra != nil && lp.budgets.fleet.knewMembersBefore(lp.follow.era)
-	lp.putBack.Begin(now, era)
+	lp.rewrite.Begin(now, era)
 	lp.mayReserve, lp.restoreAnnounced, lp.eraRead, lp.readEnd = false, false, false, 0
 	for _, a := range lp.accounts {
 		a.Restored(era)
@@ -52,8 +52,8 @@
 	lp.wakeLoop()
 }
 
-// isPuttingBack reports whether reservations may not be raised yet.
-func (lp *ledgerPartition) isPuttingBack() bool {
+// isRewriting reports whether reservations may not be raised yet.
+func (lp *ledgerPartition) isRewriting() bool {
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
 	return !lp.mayReserve
@@ -64,7 +64,7 @@
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
 	if lp.ready && lp.isRestored() {
-		era := keyed.Era(lp.putBack.Era())
+		era := keyed.Era(lp.rewrite.Era())
 		lp.lastRestoredEra = &era
 	}
 	return lp.lastRestoredEra
@@ -86,35 +86,35 @@
 
 // isRestored reports whether the log has all the records that this entry VM knows. The caller holds mu.
 func (lp *ledgerPartition) isRestored() bool {
-	if !lp.eraRead || !lp.putBack.IsDone() {
+	if !lp.eraRead || !lp.rewrite.IsDone() {
 		return false
 	}
 	for _, a := range lp.accounts {
-		if a.Unstated() {
+		if a.NeedsRewrite() {
 			return false
 		}
 	}
 	return true
 }
 
-// restore puts back what the log has lost and reports whether tokens may be reserved. The partition has just been read.
+// restore rewrites what the log has lost and reports whether tokens may be reserved. The partition has just been read.
 func (lp *ledgerPartition) restore(ctx context.Context) (bool, error) {
 	if lp.isSettled() {
 		return true, nil
 	}
-	own, err := lp.restateOwn(ctx)
+	own, err := lp.rewriteOwn(ctx)
 	if err != nil {
 		return false, err
 	}
 	others := 0
 	if own == 0 {
-		others, err = lp.restateOthers(ctx, lp.putBack.Stale)
+		others, err = lp.rewriteOthers(ctx, lp.rewrite.Stale)
 		var conflict *keyed.ConflictError
 		if err != nil && !errors.As(err, &conflict) {
 			return false, err
 		}
 	}
-	lp.logPutBack(own, others)
+	lp.logRewrite(own, others)
 	return lp.decideReserving(), nil
 }
 
@@ -122,7 +122,7 @@
 func (lp *ledgerPartition) isSettled() bool {
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
-	return lp.mayReserve && lp.putBack.IsDone()
+	return lp.mayReserve && lp.rewrite.IsDone()
 }
 
 // decideReserving decides whether tokens may be reserved.
@@ -135,7 +135,7 @@
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
 	now := lp.budgets.cfg.Now()
-	if !lp.mayReserve && lp.isRestored() && lp.putBack.MayReserve(now, othersDone) {
+	if !lp.mayReserve && lp.isRestored() && lp.rewrite.MayReserve(now, othersDone) {
 		lp.mayReserve = true
 		lp.lastSettledEra = &era
 		if lp.remembersEra {
@@ -144,7 +144,7 @@
 		}
 		lp.notifyWaiters()
 		lp.budgets.cfg.Events.Event(event.ReservingAgain, apexlog.Fields{
-			"partition": lp.follow.partition.Number, "era": era, "waitedMs": lp.putBack.Waited(now).Milliseconds(), "othersDone": othersDone,
+			"partition": lp.follow.partition.Number, "era": era, "waitedMs": lp.rewrite.Waited(now).Milliseconds(), "othersDone": othersDone,
 		})
 	}
 	return lp.mayReserve
@@ -161,22 +161,22 @@
 	return true
 }
 
-// waitsForOthers reports whether this entry VM has put back what it knows, others haven't yet, and it has read lately what
-// they have put back. The records of holders that are gone must not stay the knowledge of one process.
+// waitsForOthers reports whether this entry VM has rewritten what it knows, others haven't yet, and it has read lately what
+// they have rewritten. The records of holders that are gone must not stay the knowledge of one process.
 func (lp *ledgerPartition) waitsForOthers() bool {
-	interval := max(putBackReadInterval, time.Duration(lp.budgets.fleet.count())*putBackReadIntervalPerVM)
+	interval := max(rewriteReadInterval, time.Duration(lp.budgets.fleet.count())*rewriteReadIntervalPerVM)
 	lp.mu.Lock()
 	now := lp.budgets.cfg.Now()
-	waiting := !lp.mayReserve && lp.isRestored() && lp.putBack.Waited(now) < escrow.PutBackTimeout && now.Sub(lp.lastRenewal) < interval
-	era, remembers := keyed.Era(lp.putBack.Era()), lp.remembersEra
+	waiting := !lp.mayReserve && lp.isRestored() && lp.rewrite.Waited(now) < escrow.RewriteTimeout && now.Sub(lp.lastRenewal) < interval
+	era, remembers := keyed.Era(lp.rewrite.Era()), lp.remembersEra
 	lp.mu.Unlock()
 	return waiting && !lp.eraChanged.Load() && !lp.budgets.fleet.haveRestored(era, remembers)
 }
 
-// restateOwn writes the records of this process that a restored log may lack and returns their number. They neither
+// rewriteOwn writes the records of this process that a restored log may lack and returns their number. They neither
 // reserve nor return tokens, so they are written on no condition.
-func (lp *ledgerPartition) restateOwn(ctx context.Context) (int, error) {
-	plans := lp.restatements()
+func (lp *ledgerPartition) rewriteOwn(ctx context.Context) (int, error) {
+	plans := lp.rewritePlans()
 	var records []keyed.Record
 	for _, p := range plans {
 		r, err := encodeReservation(p.team, lp.budgets.cfg.Name, p.Record)
@@ -185,7 +185,7 @@
 		}
 		records = append(records, r)
 	}
-	for chunk := range slices.Chunk(records, maxPutBackRecords) {
+	for chunk := range slices.Chunk(records, maxRewriteRecords) {
 		if _, err := lp.appendRecords(ctx, chunk, nil); err != nil {
 			return 0, err
 		}
@@ -198,26 +198,26 @@
 	return len(plans), nil
 }
 
-func (lp *ledgerPartition) restatements() []plan {
+func (lp *ledgerPartition) rewritePlans() []plan {
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
 	var plans []plan
 	now := lp.budgets.cfg.Now()
 	for _, team := range slices.Sorted(maps.Keys(lp.accounts)) {
 		a := lp.accounts[team]
-		if !a.Unstated() {
+		if !a.NeedsRewrite() {
 			continue
 		}
-		p := a.Restate(lp.budgets.fleet.timeOfDay())
+		p := a.Rewrite(lp.budgets.fleet.timeOfDay())
 		a.WriteSent(now, escrow.Unconditional, p.Record)
 		plans = append(plans, plan{team: team, Plan: p})
 	}
 	return plans
 }
 
-// restateOthers writes the known records of the first keys that choose returns, on the condition that nobody has written
+// rewriteOthers writes the known records of the first keys that choose returns, on the condition that nobody has written
 // since the partition was read. It returns their number.
-func (lp *ledgerPartition) restateOthers(ctx context.Context, choose func(now time.Time) []string) (int, error) {
+func (lp *ledgerPartition) rewriteOthers(ctx context.Context, choose func(now time.Time) []string) (int, error) {
 	records, err := lp.knownRecords(choose)
 	if err != nil || len(records) == 0 {
 		return 0, err
@@ -231,32 +231,32 @@
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
 	for _, r := range records {
-		lp.putBack.Observe(r.Key, false)
+		lp.rewrite.Observe(r.Key, false)
 	}
 	return len(records), nil
 }
 
-// restateMissing writes all known records that are newer than those of the log, for a process that stops. The partition has
+// rewriteMissing writes all known records that are newer than those of the log, for a process that stops. The partition has
 // just been read.
-func (lp *ledgerPartition) restateMissing(ctx context.Context) error {
-	missing := func(time.Time) []string { return lp.putBack.Missing() }
+func (lp *ledgerPartition) rewriteMissing(ctx context.Context) error {
+	missing := func(time.Time) []string { return lp.rewrite.Missing() }
 	total := 0
 	for {
-		n, err := lp.restateOthers(ctx, missing)
+		n, err := lp.rewriteOthers(ctx, missing)
 		total += n
 		if n == 0 || err != nil {
-			lp.logPutBack(0, total)
+			lp.logRewrite(0, total)
 			return err
 		}
 	}
 }
 
-// logPutBack logs the numbers of records that were written again.
-func (lp *ledgerPartition) logPutBack(own, others int) {
+// logRewrite logs the numbers of records that were written again.
+func (lp *ledgerPartition) logRewrite(own, others int) {
 	if own+others == 0 {
 		return
 	}
-	lp.budgets.cfg.Events.Event(event.ReservationsPutBack, apexlog.Fields{
+	lp.budgets.cfg.Events.Event(event.ReservationsRewritten, apexlog.Fields{
 		"partition": lp.follow.partition.Number, "era": lp.follow.era, "own": own, "others": others,
 	})
 }
@@ -267,7 +267,7 @@
 	defer lp.mu.Unlock()
 	keys := choose(lp.budgets.cfg.Now())
 	var records []keyed.Record
-	for _, key := range keys[:min(len(keys), maxPutBackRecords)] {
+	for _, key := range keys[:min(len(keys), maxRewriteRecords)] {
 		team, holder, _ := strings.Cut(key, "/")
 		r, err := encodeReservation(team, holder, lp.recordsOf(team).Record(holder))
 		if err != nil {
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -182,12 +182,12 @@
 }
 
 // recentRecords returns the known records that a copy of the log may lack: those written lately, and for a while after a
-// restoration those that others than their holders have put back.
+// restoration those that others than their holders have rewritten.
 func (lp *ledgerPartition) recentRecords() []keyed.Record {
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
-	era := lp.putBack.Era()
-	restored := era > uint64(firstEra) && lp.putBack.Waited(lp.budgets.cfg.Now()) < 2*escrow.MaxCopyAge
+	era := lp.rewrite.Era()
+	restored := era > uint64(firstEra) && lp.rewrite.Waited(lp.budgets.cfg.Now()) < 2*escrow.MaxCopyAge
 	oldest := lp.budgets.fleet.timeOfDay().Add(-escrow.MaxCopyAge).UnixMilli()
 	var records []keyed.Record
 	for team, known := range lp.teamRecords {
@@ -215,7 +215,7 @@
 }
 
 // learn takes note of a record. It isn't answered for if this entry VM has read a later era of the log, where it may have
-// confirmed already that all it knew was put back.
+// confirmed already that all it knew was rewritten.
 func (lp *ledgerPartition) learn(r keyed.Record) bool {
 	team, holder, ok := strings.Cut(r.Key, "/")
 	var record escrow.Record
@@ -228,10 +228,10 @@
 	if !lp.ready {
 		return false
 	}
-	outdated := record.Era < lp.putBack.Era()
+	outdated := record.Era < lp.rewrite.Era()
 	known := lp.recordsOf(team).Record(holder).Sequence
 	if lp.recordsOf(team).Set(holder, record) && record.Sequence > known && outdated {
-		lp.putBack.Observe(r.Key, true)
+		lp.rewrite.Observe(r.Key, true)
 		lp.wakeLoop()
 	}
 	return !outdated
@@ -242,7 +242,7 @@
 	positions := make([]ledgerPosition, 0, len(b.partitions))
 	for _, lp := range b.partitions {
 		lp.mu.Lock()
-		positions = append(positions, ledgerPosition{Era: keyed.Era(lp.putBack.Era()), Next: lp.readEnd})
+		positions = append(positions, ledgerPosition{Era: keyed.Era(lp.rewrite.Era()), Next: lp.readEnd})
 		lp.mu.Unlock()
 	}
 	return positions
--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -55,7 +55,7 @@
 		g.budgets.partitions[0].ioMu.Unlock()
 	}
 	f.c.Assert(sum > 40_000, qt.IsTrue, qt.Commentf("%d tokens", sum))
-	f.waitWithin(2*escrow.PutBackTimeout, "reserving again", func() bool {
+	f.waitWithin(2*escrow.RewriteTimeout, "reserving again", func() bool {
 		return *others[0].budgets.settledEra() == 2 && *others[1].budgets.settledEra() == 2
 	})
 	f.c.Assert(f.ledgerRecord("team/vm-3").Reserved >= sum-credit(third), qt.IsTrue)
@@ -80,7 +80,7 @@
 }
 
 // TestRecordOfEarlierEraIsAnsweredFor guards against an answer for a record of an earlier era by an entry VM that may have
-// confirmed already that all it knew was put back. It writes the record all the same.
+// confirmed already that all it knew was rewritten. It writes the record all the same.
 func TestRecordOfEarlierEraIsAnsweredFor(t *testing.T) {
 	f := newFixture(t)
 	f.waitForMembers(f.gateway)
