--- a/core/escrow/decode_test.go
+++ b/core/escrow/decode_test.go
@@ -11,9 +11,9 @@
 	"ibiswinch/core/escrow"
 )
 
-// TestOddRecordsOverflowSums guards against one odd record that makes the sums of a whole team wrong, so that its budget is
+// TestMalformedRecordsOverflowSums guards against one malformed record that makes the sums of a whole team wrong, so that its budget is
 // overspent or locked.
-func TestOddRecordsOverflowSums(t *testing.T) {
+func TestMalformedRecordsOverflowSums(t *testing.T) {
 	c := qt.New(t)
 	var r escrow.Record
 	for _, field := range []string{"reserved", "base", "used", "credit", "burst", "slow", "rate", "want", "at"} {
--- a/core/placement/announcement.go
+++ b/core/placement/announcement.go
@@ -54,15 +54,15 @@
 }
 
 // SetLeaving records that a server said that it leaves. It gets no further calls, whatever its records say. SetLeaving
-// reports whether that is news.
+// reports whether that changes anything.
 func (t *Table) SetLeaving(now time.Time, of Server) bool {
 	a := t.announced(now, of.Incarnation())
-	news := !a.leaving
+	changed := !a.leaving
 	a.leaving, a.saidAt, a.heardAt = true, now, now
-	return news
+	return changed
 }
 
-// SetPeerLeaving records that a server said to another entry VM that it leaves. It reports whether that is news of a server that
+// SetPeerLeaving records that a server said to another entry VM that it leaves. It reports whether that is new of a server that
 // is known. Nothing that another entry VM tells ends a leaving.
 func (t *Table) SetPeerLeaving(now time.Time, incarnation string) bool {
 	s := t.servers[incarnationID(incarnation)]
@@ -70,9 +70,9 @@
 		return false
 	}
 	a := t.announced(now, incarnation)
-	news := !a.leaving
+	changed := !a.leaving
 	a.leaving, a.heardAt = true, now
-	return news
+	return changed
 }
 
 // Leaving returns the incarnations that said to this entry VM after since that they leave.
--- a/core/placement/announcement_test.go
+++ b/core/placement/announcement_test.go
@@ -23,7 +23,7 @@
 }
 
 // TestLeavingServerIsChosen guards against calls to a server that said that it leaves: when all others are paused, are
-// excluded or aren't there, and after any news of the same incarnation.
+// excluded or aren't there, and after any update of the same incarnation.
 func TestLeavingServerIsChosen(t *testing.T) {
 	c := qt.New(t)
 	isChosen := func(t *placement.Table) bool { return chosen(t, start.Add(time.Minute), 50)["s-0"] > 0 }
@@ -145,8 +145,8 @@
 	c.Check(chosen(a, until, 10), qt.DeepEquals, map[string]int{"s-0": 10})
 }
 
-// TestOddWaits guards against waits of no time or of years that keep a server from calls for good, or that fail.
-func TestOddWaits(t *testing.T) {
+// TestMalformedWaits guards against waits of no time or of years that keep a server from calls for good, or that fail.
+func TestMalformedWaits(t *testing.T) {
 	c := qt.New(t)
 	a := table(1, 1)
 	for _, wait := range []time.Duration{0, -time.Second, -1 << 63} {
--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -19,7 +19,7 @@
 	overusePercent = 25
 	// burstTime is the time for which an entry VM may save up its share.
 	burstTime = 500 * time.Millisecond
-	// peerLimitDelay is how old the news of another entry VM may be. An own answer within that time outweighs it.
+	// peerLimitDelay is how old what another entry VM says may be. An own answer within that time outweighs it.
 	peerLimitDelay = 3 * time.Second
 	// limitedPenalty is added to the load of servers with limits for calls that may go anywhere, so that what these servers
 	// take is left for the prompts that they hold.
@@ -73,8 +73,8 @@
 	l.most.perSecond = perSecond * (100 + overusePercent) / 100
 }
 
-// LimitNews is what an answer, or another entry VM, says of the limit of a server.
-type LimitNews struct {
+// LimitUpdate is what an answer, or another entry VM, says of the limit of a server.
+type LimitUpdate struct {
 	// PerSecond is the number of requests a second that the server takes from all entry VMs together, if Limited is set.
 	PerSecond float64
 	Limited   bool
@@ -82,41 +82,41 @@
 	Until time.Time
 }
 
-// SetLimit records what an answer of a server said of its limit. It reports whether that is news.
-func (t *Table) SetLimit(now time.Time, of Server, news LimitNews) bool {
+// SetLimit records what an answer of a server said of its limit. It reports whether that changes anything.
+func (t *Table) SetLimit(now time.Time, of Server, update LimitUpdate) bool {
 	s := t.servers[of.ID]
 	if s == nil || !s.Born.Equal(of.Born) {
 		return false
 	}
 	s.answeredAt = now
-	return t.setLimit(now, s, news)
+	return t.setLimit(now, s, update)
 }
 
-// SetPeerLimit records what another entry VM was told by a server. It reports whether that is news.
-func (t *Table) SetPeerLimit(now time.Time, incarnation string, news LimitNews) bool {
+// SetPeerLimit records what another entry VM was told by a server. It reports whether that changes anything.
+func (t *Table) SetPeerLimit(now time.Time, incarnation string, update LimitUpdate) bool {
 	s := t.servers[incarnationID(incarnation)]
 	if s == nil || s.Incarnation() != incarnation || now.Sub(s.answeredAt) <= peerLimitDelay {
 		return false
 	}
-	return t.setLimit(now, s, news)
+	return t.setLimit(now, s, update)
 }
 
-func (t *Table) setLimit(now time.Time, s *server, news LimitNews) bool {
+func (t *Table) setLimit(now time.Time, s *server, update LimitUpdate) bool {
 	old := s.limit
 	switch {
-	case !news.Limited:
+	case !update.Limited:
 		s.limit = nil
 		return old != nil
-	case old != nil && old.perSecond == news.PerSecond:
-		old.until = news.Until
+	case old != nil && old.perSecond == update.PerSecond:
+		old.until = update.Until
 		return false
 	case old == nil:
 		// Entry VMs that hear of the limit at the same time don't use it at the same time.
 		bucket := tokenBucket{tokens: t.random.Float64(), refilledAt: now}
 		s.limit = &requestLimit{share: bucket, most: bucket}
 	}
-	s.limit.perSecond, s.limit.until = news.PerSecond, news.Until
-	s.limit.setShare(now, limitShare(news.PerSecond, t.vms[s.Service]))
+	s.limit.perSecond, s.limit.until = update.PerSecond, update.Until
+	s.limit.setShare(now, limitShare(update.PerSecond, t.vms[s.Service]))
 	return true
 }
 
--- a/core/placement/limit_test.go
+++ b/core/placement/limit_test.go
@@ -37,8 +37,8 @@
 	for i := range n {
 		t := table(servers, uint64(i+1))
 		for id := range servers {
-			news := placement.LimitNews{PerSecond: limit, Limited: true, Until: start.Add(time.Hour)}
-			c.Assert(t.SetLimit(start, server(id), news), qt.IsTrue)
+			update := placement.LimitUpdate{PerSecond: limit, Limited: true, Until: start.Add(time.Hour)}
+			c.Assert(t.SetLimit(start, server(id), update), qt.IsTrue)
 		}
 		own := append([]placement.VM{vms[i]}, slices.Delete(slices.Clone(vms), i, i+1)...)
 		t.SetVMs(start, service, own)
@@ -101,7 +101,7 @@
 func TestLimitIsReachedWithoutNeed(t *testing.T) {
 	c := qt.New(t)
 	a := table(2, 1)
-	a.SetLimit(start, server(0), placement.LimitNews{PerSecond: 2, Limited: true, Until: start.Add(time.Hour)})
+	a.SetLimit(start, server(0), placement.LimitUpdate{PerSecond: 2, Limited: true, Until: start.Add(time.Hour)})
 	limited := 0
 	for i := range 400 {
 		p, ok := a.Choose(start.Add(time.Duration(i)*10*time.Millisecond), placement.Request{Service: service})
@@ -119,18 +119,18 @@
 func TestLimitOutlastsItsServer(t *testing.T) {
 	c := qt.New(t)
 	isLimited := func(t *placement.Table) bool { return t.Dump()[0].Limited }
-	news := placement.LimitNews{PerSecond: 2, Limited: true, Until: start.Add(10 * time.Second)}
+	update := placement.LimitUpdate{PerSecond: 2, Limited: true, Until: start.Add(10 * time.Second)}
 	a := table(1, 1)
-	a.SetLimit(start, server(0), news)
+	a.SetLimit(start, server(0), update)
 	c.Assert(isLimited(a), qt.IsTrue)
-	a.SetLimit(start, server(0), placement.LimitNews{})
+	a.SetLimit(start, server(0), placement.LimitUpdate{})
 	c.Assert(isLimited(a), qt.IsFalse)
-	c.Assert(a.SetPeerLimit(start.Add(time.Second), server(0).Incarnation(), news), qt.IsFalse)
-	c.Assert(a.SetPeerLimit(start.Add(5*time.Second), server(0).Incarnation(), news), qt.IsTrue)
+	c.Assert(a.SetPeerLimit(start.Add(time.Second), server(0).Incarnation(), update), qt.IsFalse)
+	c.Assert(a.SetPeerLimit(start.Add(5*time.Second), server(0).Incarnation(), update), qt.IsTrue)
 	a.Choose(start.Add(10*time.Second), placement.Request{Service: service})
 	c.Assert(isLimited(a), qt.IsFalse)
 	again := server(0)
 	again.Born = start.Add(time.Second)
 	a.SetServer(again)
-	c.Assert(a.SetLimit(start, server(0), news), qt.IsFalse)
+	c.Assert(a.SetLimit(start, server(0), update), qt.IsFalse)
 }
--- a/core/placement/window_test.go
+++ b/core/placement/window_test.go
@@ -26,7 +26,7 @@
 // limitedBesides returns a table of n servers and a further one that takes hardly any calls.
 func limitedBesides(n int, seed uint64) *placement.Table {
 	t := table(n+1, seed)
-	t.SetLimit(start, server(n), placement.LimitNews{PerSecond: 0.25, Limited: true, Until: start.Add(time.Hour)})
+	t.SetLimit(start, server(n), placement.LimitUpdate{PerSecond: 0.25, Limited: true, Until: start.Add(time.Hour)})
 	return t
 }
 
--- a/entry/lists_test.go
+++ b/entry/lists_test.go
@@ -8,16 +8,16 @@
 	standin "ibiswinch/standin/platform"
 )
 
-// TestOddEntriesHideLeavingServer guards against an entry VM that stops following the platform's lists because of odd entries,
+// TestMalformedEntriesHideLeavingServer guards against an entry VM that stops following the platform's lists because of malformed entries,
 // and goes on sending requests to a server that leaves.
-func TestOddEntriesHideLeavingServer(t *testing.T) {
+func TestMalformedEntriesHideLeavingServer(t *testing.T) {
 	n := startVM(t, testVMConfig{})
 	isLeaving := func() bool {
 		servers := n.vm.Dump().Servers
 		return len(servers) == 1 && servers[0].Leaving
 	}
 	qt.Assert(t, isLeaving(), qt.IsFalse)
-	n.platform.SetVMs([]standin.VM{{Name: "odd", State: "asleep"}})
-	n.platform.SetServers([]standin.BackendServer{{Name: "odd", State: "asleep"}, {Name: "engine-1", State: standin.StateLeaving}, {}})
+	n.platform.SetVMs([]standin.VM{{Name: "malformed", State: "asleep"}})
+	n.platform.SetServers([]standin.BackendServer{{Name: "malformed", State: "asleep"}, {Name: "engine-1", State: standin.StateLeaving}, {}})
 	n.await("leaving", isLeaving)
 }
--- a/gateway/announcements_test.go
+++ b/gateway/announcements_test.go
@@ -246,8 +246,8 @@
 	f.c.Assert(b.servers(), qt.HasLen, 3)
 }
 
-// TestOddWaitIsIgnored guards against a server that gets no calls because the wait that it asked for is no time.
-func TestOddWaitIsIgnored(t *testing.T) {
+// TestMalformedWaitIsIgnored guards against a server that gets no calls because the wait that it asked for is no time.
+func TestMalformedWaitIsIgnored(t *testing.T) {
 	f, b := newAnnouncingFixture(t, func(int, Attempt) (Answer, error) {
 		return &fakeAnswer{status: 503, notRun: true, retryError: errors.New("no time")}, nil
 	})
--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -22,7 +22,7 @@
 	})
 }
 
-func addOddRecords(f *testing.F) {
+func addMalformedRecords(f *testing.F) {
 	for _, value := range []string{
 		"", "null", "{}", "[]", "7", "1e400", `{"time":9223372036854775808}`, `{"incarnation":"1","time":1,"calls":{"s":-1},"limits":{"s@1":1e308}}`,
 		`{"reports":[{"subject":"s","server":"a@1","sentAt":"9999-12-31T23:59:59-23:59","crashedAt":"9999-12-31T23:59:59-23:59"}]}`,
@@ -36,13 +36,13 @@
 
 // FuzzHeartbeat guards against heartbeats that panic, hide a sound one, or are encoded otherwise than decoded.
 func FuzzHeartbeat(f *testing.F) {
-	addOddRecords(f)
+	addMalformedRecords(f)
 	f.Add([]byte(`{"incarnation":"1","address":"10.0.0.2:1","zone":"z","time":1767225600000,"calls":{"s":5},"evidence":[{}]}`))
 	const sound = `{"incarnation":"1","address":"10.0.0.2:7200","zone":"z","time":1767225600000}`
 	f.Fuzz(func(t *testing.T, value []byte) {
 		g := newIdleGateway()
-		g.fleet.snapshot([]keyed.Record{{Key: "odd", Value: value}, {Key: "vm-2", Value: []byte(sound)}})
-		g.fleet.apply(keyed.Record{Key: "odd", Value: value})
+		g.fleet.snapshot([]keyed.Record{{Key: "malformed", Value: value}, {Key: "vm-2", Value: []byte(sound)}})
+		g.fleet.apply(keyed.Record{Key: "malformed", Value: value})
 		g.fleet.apply(keyed.Record{Key: "vm-2", Value: []byte(sound)})
 		if _, found := g.fleet.addresses["vm-2"]; !found || g.fleet.count() > 3 {
 			t.Fatal("sound heartbeat hidden")
@@ -51,11 +51,11 @@
 			t.Fatalf("fleet's time %v", now)
 		}
 		var h, again heartbeat
-		if json.Unmarshal(value, &h) != nil || h.validate("odd") != nil {
+		if json.Unmarshal(value, &h) != nil || h.validate("malformed") != nil {
 			return
 		}
 		encoded, err := json.Marshal(h)
-		if err != nil || json.Unmarshal(encoded, &again) != nil || again.validate("odd") != nil {
+		if err != nil || json.Unmarshal(encoded, &again) != nil || again.validate("malformed") != nil {
 			t.Fatalf("%+v decoded as %+v: %v", h, again, err)
 		}
 	})
@@ -63,7 +63,7 @@
 
 // FuzzCrashRecord guards against crash records that panic, hide a sound one, or that this entry VM can't publish again.
 func FuzzCrashRecord(f *testing.F) {
-	addOddRecords(f)
+	addMalformedRecords(f)
 	sound, err := json.Marshal(crash.Record{Reports: []crash.Report{
 		{Incident: crash.Incident{Subject: "part:sound", Server: "a@1"}, SentAt: fuzzTime.Add(-time.Second), CrashedAt: fuzzTime},
 	}})
@@ -73,7 +73,7 @@
 	f.Fuzz(func(t *testing.T, value []byte) {
 		s := newIdleGateway().suspects
 		s.set(keyed.Record{Key: "vm-1", Value: value})
-		s.snapshot([]keyed.Record{{Key: "odd", Value: value}, {Key: "vm-2", Value: sound}})
+		s.snapshot([]keyed.Record{{Key: "malformed", Value: value}, {Key: "vm-2", Value: sound}})
 		if _, err := json.Marshal(s.ownRecord()); err != nil {
 			t.Fatal(err)
 		}
@@ -92,7 +92,7 @@
 
 // FuzzRolloutStep guards against steps of version changes that panic or hide a sound one.
 func FuzzRolloutStep(f *testing.F) {
-	addOddRecords(f)
+	addMalformedRecords(f)
 	body, err := json.Marshal(rollout.Open{ConfigVersion: 1, Rule: rollout.Rule{
 		Model: "sound", Old: "v1", New: "v2", Deadline: fuzzTime.Add(time.Minute), Stages: rolloutStages(),
 	}})
@@ -108,8 +108,8 @@
 	}
 	f.Fuzz(func(t *testing.T, value []byte) {
 		r := newIdleGateway().rollouts
-		r.snapshot([]keyed.Record{{Key: "odd", Value: value}, {Key: "sound", Value: sound, Offset: 1}})
-		r.apply(keyed.Record{Key: "odd", Value: value, Offset: 2})
+		r.snapshot([]keyed.Record{{Key: "malformed", Value: value}, {Key: "sound", Value: sound, Offset: 1}})
+		r.apply(keyed.Record{Key: "malformed", Value: value, Offset: 2})
 		r.tick()
 		for _, change := range r.changes.All() {
 			_, _ = r.choose(change.Rule.Model, "r-1")
--- a/gateway/malformed_records_test.go
+++ b/gateway/malformed_records_test.go
@@ -22,9 +22,9 @@
 	l.partitions[p] = append(l.partitions[p], keyed.Record{Key: key, Value: []byte(value), Offset: uint64(len(l.partitions[p]))})
 }
 
-// TestOddReservationLocksTeam guards against one odd record of the ledger after which all calls of a team are refused, or the
+// TestMalformedReservationLocksTeam guards against one malformed record of the ledger after which all calls of a team are refused, or the
 // budget is overspent.
-func TestOddReservationLocksTeam(t *testing.T) {
+func TestMalformedReservationLocksTeam(t *testing.T) {
 	const large = 90_000
 	for _, value := range []string{
 		`{"reserved":9223372036854775807,"used":9223372036854775807,"want":9223372036854775807,"at":1}`,
@@ -32,7 +32,7 @@
 	} {
 		f := newFixture(t)
 		ledger := f.gateway.budgets.partitionOf("team").follow.partition
-		f.log.putRaw(ledger, "team/odd", value)
+		f.log.putRaw(ledger, "team/malformed", value)
 		f.backend.results = []sendResult{{answer: &fakeAnswer{status: 200, body: "answer"}}, {answer: &fakeAnswer{status: 200, body: "answer"}}}
 		r := f.serve(&call.Call{Path: "/order/1", InputTokens: large})
 		f.c.Check(r.status, qt.Equals, 200, qt.Commentf("%s: %v", value, r.refused))
@@ -41,9 +41,9 @@
 	}
 }
 
-// TestOddReportHidesOthers guards against a quarantine that other entry VMs don't learn of, as one report beside those of its
+// TestMalformedReportHidesOthers guards against a quarantine that other entry VMs don't learn of, as one report beside those of its
 // crashes is invalid.
-func TestOddReportHidesOthers(t *testing.T) {
+func TestMalformedReportHidesOthers(t *testing.T) {
 	c := qt.New(t)
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	cfg := Config{Name: "vm-1", Now: func() time.Time { return now }, Events: apexlog.Discard()}
@@ -63,23 +63,23 @@
 	c.Assert(refused, qt.IsTrue)
 }
 
-// TestOddHeartbeatCounts guards against heartbeats that no entry VM sends: they would move the fleet's clock, take a part of
+// TestMalformedHeartbeatCounts guards against heartbeats that no entry VM sends: they would move the fleet's clock, take a part of
 // the retry limit, and make the shares of a server's limit no numbers.
-func TestOddHeartbeatCounts(t *testing.T) {
+func TestMalformedHeartbeatCounts(t *testing.T) {
 	c := qt.New(t)
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	f := New(Config{Name: "vm-1", Now: func() time.Time { return now }, Events: apexlog.Discard()}).fleet
 	sound := fmt.Sprintf(`{"incarnation":"1","address":"10.0.0.2:7200","zone":"z","time":%d,"calls":{"s":5}}`, now.UnixMilli())
 	f.apply(keyed.Record{Key: "vm-2", Value: []byte(sound)})
 	for _, r := range []keyed.Record{
-		{Key: "", Value: []byte(sound)}, {Key: "odd"}, {Key: strings.Repeat("k", 255), Value: []byte(sound)},
-		{Key: "odd", Value: []byte(`null`)}, {Key: "odd", Value: []byte(`{}`)}, {Key: "odd", Value: []byte(strings.Repeat("[", 1_000_000))},
-		{Key: "odd", Value: []byte(`{"incarnation":"1","time":0}`)}, {Key: "odd", Value: []byte(`{"incarnation":"1","time":-1}`)},
-		{Key: "odd", Value: []byte(`{"incarnation":"1","time":9223372036854775807}`)}, {Key: "odd", Value: []byte(`{"incarnation":"1","time":1e400}`)},
-		{Key: "odd", Value: []byte(strings.Replace(sound, `"s":5`, `"s":-5`, 1))},
-		{Key: "odd", Value: []byte(strings.Replace(sound, `"s":5`, `"s":9223372036854775807`, 1))},
-		{Key: "odd", Value: []byte(strings.Replace(sound, `"calls":{"s":5}`, `"limits":{"s@1":-1}`, 1))},
-		{Key: "odd", Value: []byte(strings.Replace(sound, `"calls":{"s":5}`, `"limits":{"s@1":1e308}`, 1))},
+		{Key: "", Value: []byte(sound)}, {Key: "malformed"}, {Key: strings.Repeat("k", 255), Value: []byte(sound)},
+		{Key: "malformed", Value: []byte(`null`)}, {Key: "malformed", Value: []byte(`{}`)}, {Key: "malformed", Value: []byte(strings.Repeat("[", 1_000_000))},
+		{Key: "malformed", Value: []byte(`{"incarnation":"1","time":0}`)}, {Key: "malformed", Value: []byte(`{"incarnation":"1","time":-1}`)},
+		{Key: "malformed", Value: []byte(`{"incarnation":"1","time":9223372036854775807}`)}, {Key: "malformed", Value: []byte(`{"incarnation":"1","time":1e400}`)},
+		{Key: "malformed", Value: []byte(strings.Replace(sound, `"s":5`, `"s":-5`, 1))},
+		{Key: "malformed", Value: []byte(strings.Replace(sound, `"s":5`, `"s":9223372036854775807`, 1))},
+		{Key: "malformed", Value: []byte(strings.Replace(sound, `"calls":{"s":5}`, `"limits":{"s@1":-1}`, 1))},
+		{Key: "malformed", Value: []byte(strings.Replace(sound, `"calls":{"s":5}`, `"limits":{"s@1":1e308}`, 1))},
 	} {
 		f.snapshot([]keyed.Record{r})
 		f.apply(r)
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -31,7 +31,7 @@
 	goneRetention = 2 * time.Minute
 	// rewriteTime is how long after a restoration of the log records of before are written again.
 	rewriteTime = 4 * time.Second
-	// limitRetention is how long a limit holds after it was last named, besides the time for news to spread.
+	// limitRetention is how long a limit holds after it was last named, besides the time in which entry VMs tell each other.
 	limitRetention = 10 * time.Second
 	// sharingInterval is the time between two divisions of limits.
 	sharingInterval = 500 * time.Millisecond
@@ -305,13 +305,13 @@
 // setLimit records whether an answer of a server named a limit.
 func (s *serverController) setLimit(of placement.Server, perSecond float64, limited bool) {
 	now := s.cfg.Now()
-	var news placement.LimitNews
+	var update placement.LimitUpdate
 	if limited {
-		news = newLimitNews(now, s.fleet.count(), perSecond)
+		update = newLimitUpdate(now, s.fleet.count(), perSecond)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.table.SetLimit(now, of, news) {
+	if s.table.SetLimit(now, of, update) {
 		s.cfg.Events.Event(event.ServerLimited, apexlog.Fields{"server": of.ID, "limit": perSecond, "limited": limited})
 	}
 }
@@ -368,9 +368,9 @@
 	return s.table.TakesCalls(s.cfg.Now(), p)
 }
 
-// newLimitNews returns news of a limit that holds until entry VMs have had time to pass on newer ones.
-func newLimitNews(now time.Time, vms int, perSecond float64) placement.LimitNews {
-	return placement.LimitNews{PerSecond: perSecond, Limited: true, Until: now.Add(limitRetention + 2*announceInterval(vms))}
+// newLimitUpdate returns the update of a limit that holds until entry VMs have had time to pass on newer ones.
+func newLimitUpdate(now time.Time, vms int, perSecond float64) placement.LimitUpdate {
+	return placement.LimitUpdate{PerSecond: perSecond, Limited: true, Until: now.Add(limitRetention + 2*announceInterval(vms))}
 }
 
 // setPeerLimits records the limits that servers named to another entry VM.
@@ -383,7 +383,7 @@
 	defer s.mu.Unlock()
 	now := s.cfg.Now()
 	for incarnation, perSecond := range limits {
-		if s.table.SetPeerLimit(now, incarnation, newLimitNews(now, n, perSecond)) {
+		if s.table.SetPeerLimit(now, incarnation, newLimitUpdate(now, n, perSecond)) {
 			s.cfg.Events.Event(event.ServerLimited, apexlog.Fields{
 				"server": incarnation, "limit": perSecond, "limited": true, "reportedBy": vm,
 			})
--- a/io/internal/roundtrip/endless_test.go
+++ b/io/internal/roundtrip/endless_test.go
@@ -13,7 +13,7 @@
 	"ibiswinch/io/internal/roundtrip"
 )
 
-// TestEndlessHeadIsReadWithoutBound guards against servers in trouble that fill the memory with the head of an answer that never
+// TestEndlessHeadIsReadWithoutBound guards against faulty servers that fill the memory with the head of an answer that never
 // ends.
 func TestEndlessHeadIsReadWithoutBound(t *testing.T) {
 	c := qt.New(t)
@@ -28,7 +28,7 @@
 		}
 		defer func() { _ = conn.Close() }()
 		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
-		for lines := []byte(strings.Repeat("X-Trouble: aaaaaaaaaaaaaaaa\r\n", 100)); err == nil; {
+		for lines := []byte(strings.Repeat("X-Padding: aaaaaaaaaaaaaaaa\r\n", 100)); err == nil; {
 			var n int
 			n, err = conn.Write(lines)
 			written.Add(int64(n))
