soak: a backend server that starts again waits for its address

Cause: a process that the harness starts at the same moment has a copy of the listener that was just closed until exec has closed its descriptors.

Result: the address is waited for, 1 s at most; no check has changed.

--- a/soak/backend_test.go
+++ b/soak/backend_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -12,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"ibiswinch/standin/keyedlog"
@@ -21,6 +23,9 @@
 	// eventTokens is the number of tokens of one stream event, eventGap the pause between two events.
 	eventTokens = 4
 	eventGap    = 12 * time.Millisecond
+	// listenTimeout is how long a server that starts again waits for its address, listenInterval the time between two attempts.
+	listenTimeout  = time.Second
+	listenInterval = 5 * time.Millisecond
 	// endlessChunkBytes are written each endlessChunkInterval by an answer without end.
 	endlessChunkBytes    = 16 << 10
 	endlessChunkInterval = 5 * time.Millisecond
@@ -78,9 +83,20 @@
 	taken  int32
 }
 
+// listenAgain listens at an address whose last listener may have just been closed. A process that is started at the same time has a
+// copy of that for a moment, until its descriptors are closed on exec.
+func listenAgain(address string) (net.Listener, error) {
+	for deadline := time.Now().Add(listenTimeout); ; time.Sleep(listenInterval) {
+		listener, err := net.Listen("tcp4", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return listener, err
+		}
+	}
+}
+
 // start starts the server as a new instance.
 func (b *backend) start() error {
-	listener, err := net.Listen("tcp4", b.listen)
+	listener, err := listenAgain(b.listen)
 	if err != nil {
 		return err
 	}
