--- a/cmd/ibiswinch/memory_test.go
+++ b/cmd/ibiswinch/memory_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -32,9 +31,7 @@
 // TestManyCallersFillMemory guards against an entry VM that runs out of memory, and ends with the requests of all its callers,
 // because many answers or requests at once are each within their own bound.
 func TestManyCallersFillMemory(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "ibiswinch")
-	out, err := exec.Command("go", "build", "-o", binary, "ibiswinch/cmd/ibiswinch").CombinedOutput()
-	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	binary := filepath.Join(buildBinaries(qt.New(t)), "ibiswinch")
 	const signed = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Seal: seal\r\n"
 	for _, test := range []struct {
 		name    string
@@ -53,7 +50,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f := newPlatformFixture(t)
-			f.publishFaulty(f.startFaulty(test.start, test.rest, test.size), f.startFaulty(signed+"Content-Length: 4\r\n\r\n", "done", 4))
+			f.publishRoutes(f.startScripted(test.start, test.rest, test.size), f.startScripted(signed+"Content-Length: 4\r\n\r\n", "done", 4))
 			// No call is refused because the link is full.
 			f.changeSettings("link_mbps = 1000\n", "link_mbps = 1000000\n")
 			p := f.startProcess(binary, false)
@@ -80,8 +77,8 @@
 	}
 }
 
-// publishFaulty publishes a route to a faulty server and one to a sound one.
-func (f *platformFixture) publishFaulty(faulty, sound string) {
+// publishRoutes publishes a route to a server that may be faulty and one to a sound one.
+func (f *platformFixture) publishRoutes(faulty, sound string) {
 	route := func(name string, timeout time.Duration) map[string]any {
 		return map[string]any{
 			"name": name, "host": "a.example", "path_prefix": "/" + name + "/", "kind": "unsafe", "timeout_ms": timeout.Milliseconds(),
@@ -105,9 +102,9 @@
 	}
 }
 
-// startFaulty starts a server that answers each request with start and size bytes of repeated rest, in which ID stands for the id
+// startScripted starts a server that answers each request with start and size bytes of repeated rest, in which ID stands for the id
 // of the request and KEY for a number, and then waits until the connection is closed.
-func (f *platformFixture) startFaulty(start, rest string, size int) string {
+func (f *platformFixture) startScripted(start, rest string, size int) string {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	f.c.Assert(err, qt.IsNil)
 	f.c.Cleanup(func() { _ = listener.Close() })
@@ -121,13 +118,13 @@
 			if err != nil {
 				return
 			}
-			go serveFaulty(conn, start, text.String())
+			go serveScripted(conn, start, text.String())
 		}
 	}()
 	return listener.Addr().String()
 }
 
-func serveFaulty(conn net.Conn, start, rest string) {
+func serveScripted(conn net.Conn, start, rest string) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
--- a/cmd/ibiswinch/stop_test.go
+++ b/cmd/ibiswinch/stop_test.go
@@ -35,9 +35,7 @@
 // TestProcessOutlivesGracePeriod guards against a stopping process that waits for something longer than its grace period
 // and is killed.
 func TestProcessOutlivesGracePeriod(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "ibiswinch")
-	out, err := exec.Command("go", "build", "-o", binary, "ibiswinch/cmd/ibiswinch").CombinedOutput()
-	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	binary := filepath.Join(buildBinaries(qt.New(t)), "ibiswinch")
 	for _, test := range []struct {
 		name          string
 		storeFault    keyedlog.Fault
@@ -190,16 +188,14 @@
 // TestLateRequestsOfStopAreCut guards against a stopping process that takes requests and passes them on shortly before it gives up
 // what is open. Their callers keep connections open until the process is gone.
 func TestLateRequestsOfStopAreCut(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "ibiswinch")
-	out, err := exec.Command("go", "build", "-o", binary, "ibiswinch/cmd/ibiswinch").CombinedOutput()
-	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	binary := filepath.Join(buildBinaries(qt.New(t)), "ibiswinch")
 	for _, gracePeriod := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second, 8 * time.Second} {
 		t.Run(gracePeriod.String(), func(t *testing.T) {
 			t.Parallel()
 			f := newPlatformFixture(t)
 			f.changeSettings(fmt.Sprintf("grace_period_s = %g\n", testGracePeriod.Seconds()), fmt.Sprintf("grace_period_s = %g\n", gracePeriod.Seconds()))
 			var runs sync.Map
-			f.publishFaulty(f.startWorking(&runs), f.startWorking(&runs))
+			f.publishRoutes(f.startWorking(&runs), f.startWorking(&runs))
 			p := f.startProcess(binary, false)
 			f.awaitSound()
 			runs.Clear()
