review: case 10, a version that is a little worse gets a third of the requests

Cause: the stages of a roll-out are entered as long as no test points to a fault, and their sum isn't bounded. Change: the version is bad from the start instead of late; each run claims its loopback network.

--- a/review/rig/exposure.go
+++ b/review/rig/exposure.go
@@ -19,12 +19,12 @@
 	// exposureShare and exposureSlack are the bounds of the settings.
 	exposureShare = 0.1
 	exposureSlack = 50
-	// badPortion of the answers of the new version are failures once badAfter has passed since the order.
-	badPortion = 0.4
-	badAfter   = exposureDuration * 3 / 4
+	// badPortion of the answers of the new version are failures, usualPortion of those of the old one.
+	badPortion   = 0.05
+	usualPortion = 0.004
 )
 
-// playExposure rolls out a version of which a part of the answers are failures.
+// playExposure rolls out a version of which more answers are failures than of the old one.
 func playExposure(f *fleet, r *recorder, trouble bool) error {
 	err := f.publish(
 		[]map[string]any{{
@@ -45,7 +45,6 @@
 			mu.Lock()
 			now := time.Now()
 			counts := !ordered.IsZero() && now.Before(deadline)
-			isBad := trouble && isNew && now.Sub(ordered) >= badAfter
 			mu.Unlock()
 			if counts {
 				all.Add(1)
@@ -55,8 +54,14 @@
 			}
 			time.Sleep(time.Duration(40+rand.IntN(40)) * time.Millisecond)
 			w.Header().Set("Response-Seal", s.seal(req))
-			if isBad && rand.Float64() < badPortion {
-				failures.Add(1)
+			portion := usualPortion
+			if trouble && isNew {
+				portion = badPortion
+			}
+			if rand.Float64() < portion {
+				if isNew {
+					failures.Add(1)
+				}
 				w.WriteHeader(http.StatusInternalServerError)
 				return
 			}
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -50,6 +50,8 @@
 	store   *keyedlog.Server
 	server  *http.Server
 	address string
+	// claim keeps other runs out of the network.
+	claim   net.Listener
 	vms     []*vm
 	servers []*server
 	version int64
@@ -65,6 +67,7 @@
 	kindStore = iota + 1
 	kindServer
 	kindVM
+	kindClaim
 )
 
 // newFleet starts a store in a free loopback network.
@@ -75,11 +78,12 @@
 	}
 	f := &fleet{dir: dir, store: keyedlog.New(), done: make(chan struct{})}
 	first := os.Getpid() % networks
-	for i := range networks {
+	for i := 0; i < networks && f.claim == nil; i++ {
 		f.network = firstNetwork + (first+i)%networks
-		if f.isFree() {
-			break
-		}
+		f.claimNetwork()
+	}
+	if f.claim == nil {
+		return nil, errors.New("no loopback network is free")
 	}
 	listener, err := net.Listen("tcp4", f.ip(kindStore, 0)+":0")
 	if err != nil {
@@ -91,14 +95,19 @@
 	return f, nil
 }
 
-// isFree reports whether no entry VM runs in the network.
-func (f *fleet) isFree() bool {
+// claimNetwork claims the network unless another run has it, or an entry VM runs there.
+func (f *fleet) claimNetwork() {
+	claim, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", f.ip(kindClaim, 0), metricsPort))
+	if err != nil {
+		return
+	}
 	l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", f.ip(kindVM, 0), metricsPort))
 	if err != nil {
-		return false
+		_ = claim.Close()
+		return
 	}
 	_ = l.Close()
-	return true
+	f.claim = claim
 }
 
 // publish writes a configuration as its next version.
@@ -115,14 +124,18 @@
 	return nil
 }
 
-// freePort returns a port that is free at an address.
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		return 0, err
+// freePorts returns different ports that are free at an address.
+func freePorts(ip string, n int) ([]int, error) {
+	ports := make([]int, n)
+	for i := range ports {
+		l, err := net.Listen("tcp4", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		ports[i] = l.Addr().(*net.TCPAddr).Port
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return ports, nil
 }
 
 // startVMs starts n entry VMs and waits until all are ready.
@@ -150,13 +163,9 @@
 
 func (f *fleet) startVM(i int) error {
 	ip := f.ip(kindVM, i)
-	var ports [3]int
-	for k := range ports {
-		port, err := freePort(ip)
-		if err != nil {
-			return err
-		}
-		ports[k] = port
+	ports, err := freePorts(ip, 3)
+	if err != nil {
+		return err
 	}
 	v := &vm{
 		name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i+1), front: fmt.Sprintf("%s:%d", ip, ports[0]),
@@ -166,7 +175,6 @@
 	if err := os.WriteFile(v.settingsPath, []byte(settings), 0o600); err != nil {
 		return err
 	}
-	var err error
 	if v.log, err = os.Create(filepath.Join(f.dir, fmt.Sprintf("vm-%d.log", i))); err != nil {
 		return err
 	}
@@ -282,10 +290,9 @@
 		s.stop()
 	}
 	_ = f.server.Close()
+	_ = f.claim.Close()
 	f.wg.Wait()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
-	} else {
-		fmt.Fprintln(os.Stderr, "logs kept")
 	}
 }
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -53,11 +53,11 @@
 func (f *fleet) add(s *server) (*server, error) {
 	i := len(f.servers)
 	ip := f.ip(kindServer, i)
-	port, err := freePort(ip)
+	ports, err := freePorts(ip, 1)
 	if err != nil {
 		return nil, err
 	}
-	s.id, s.zone, s.listen, s.store = fmt.Sprintf("i-%04d", i), zones[i%len(zones)], fmt.Sprintf("%s:%d", ip, port), f.store
+	s.id, s.zone, s.listen, s.store = fmt.Sprintf("i-%04d", i), zones[i%len(zones)], fmt.Sprintf("%s:%d", ip, ports[0]), f.store
 	if err := s.start(); err != nil {
 		return nil, err
 	}
