--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -24,7 +24,7 @@
 
 // plays are the cases by name.
 var plays = map[string]play{
-	"slash": playSlash, "leak": playLeak, "exposure": playExposure, "first-event": playFirstEvent, "lapse": playLapse, "options": playOptions,
+	"slash": playSlash, "leak": playLeak, "exposure": playExposure, "first-event": playFirstEvent, "long-id": playLongID, "lapse": playLapse, "options": playOptions,
 }
 
 // recorder writes what was sent, answered and run. It is safe for concurrent use.
--- a/review/rig/poison.go
+++ b/review/rig/poison.go
@@ -121,11 +121,21 @@
 }
 
 func isPoisonous(r *http.Request) bool {
-	return strings.Contains(r.Header.Get("Prompt-Prefix"), poisonPart+":")
+	return strings.Contains(r.Header.Get("Prompt-Prefix"), ","+poisonPart)
 }
 
 // playFirstEvent has servers crash on a part of a prompt once they have begun to write an answer.
 func playFirstEvent(f *fleet, r *recorder, trouble bool) error {
+	return playPart(f, r, poisonPart, 1, trouble)
+}
+
+// playLongID has servers crash on a part with an id of 128 bits before they write anything.
+func playLongID(f *fleet, r *recorder, trouble bool) error {
+	return playPart(f, r, strings.Repeat(poisonPart, 4), 0, trouble)
+}
+
+// playPart has servers crash on a part of a prompt after a number of events.
+func playPart(f *fleet, r *recorder, part string, events int, trouble bool) error {
 	p := &poisonLog{r: r, limit: partCrashes}
 	if err := publishEngines(f); err != nil {
 		return err
@@ -138,13 +148,16 @@
 			}
 			p.arrive(s, req)
 			time.Sleep(poisonWork)
-			s.beginStream(w, req)
-			s.writeEvents(w, req, 1, 1)
-			if trouble {
-				p.crash(s, req)
+			if !trouble {
+				s.beginStream(w, req)
+				s.writeEvents(w, req, 1, outputEvents(req))
 				return
 			}
-			s.writeEvents(w, req, 2, outputEvents(req))
+			if events > 0 {
+				s.beginStream(w, req)
+				s.writeEvents(w, req, 1, events)
+			}
+			p.crash(s, req)
 		})
 		if err != nil {
 			return err
@@ -154,11 +167,11 @@
 		return err
 	}
 	time.Sleep(stability)
-	return playPrompts(f, r, p)
+	return playPrompts(f, r, p, part)
 }
 
 // playPrompts sends poisonous and sound prompts of the same caller for a time.
-func playPrompts(f *fleet, r *recorder, p *poisonLog) error {
+func playPrompts(f *fleet, r *recorder, p *poisonLog, part string) error {
 	until := time.Now().Add(promptsTime)
 	var wg sync.WaitGroup
 	var whole, sent atomic.Int64
@@ -175,7 +188,7 @@
 	wg.Go(func() {
 		time.Sleep(200 * time.Millisecond)
 		every(f, poisonGap, until, func(address string) {
-			a := send(address, prompt(poisonPart, 2000))
+			a := send(address, prompt(part, 2000))
 			r.add("poisonous: %s", a.String())
 		})
 	})
