--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command rig plays the cases of the second review: entry VMs as processes against stand-ins of the store, of servers and of clients.
 package main
 
