sockets: bytes that the kernel has received and nobody has read stay within the memory

What callers saw: a process beside crowds of large bodies passed the memory of its machine, and a platform that counts unread bytes as memory ends it.

Cause: nobody bounded the receive buffers. The kernel lets that of a busy connection grow to several MB, and the limits counted only what the process had read. The soft limit of the Go runtime, 60% of the memory, left no room for it either. Connections to servers and other entry VMs had no bound as a whole.

All tests of crowds now count what is unread, at every socket of the process.

Why it works: core/sockets divides a fifth of the memory among all sockets, whose receive buffers are set before they are accepted or connected, so that the kernel never promises more; a long transfer gets a wide buffer while there is memory for it. The runtime gets 50%. Dials are counted against a limit.

--- a/cmd/ibiswinch/check.go
+++ b/cmd/ibiswinch/check.go
@@ -104,7 +104,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	batch, err := platform.NewStore(addr).Latest(ctx, keyed.Partition{Stream: keyed.Operations})
+	batch, err := platform.NewStore(platform.StoreConfig{Address: addr}).Latest(ctx, keyed.Partition{Stream: keyed.Operations})
 	if err != nil {
 		return publication{}, eris.Wrap(err, "read the configuration in force")
 	}
--- a/cmd/ibiswinch/hostile_platform_test.go
+++ b/cmd/ibiswinch/hostile_platform_test.go
@@ -169,6 +169,17 @@
 	runHostile(t, hostileCrowdSize, playOversized(64<<20), playOversized(64<<20))
 }
 
+// TestHostileUnread guards against bytes that the process has received and not read, which count as its memory: requests sent ahead,
+// whole bodies, stalled ones and bodies far over the limit, all at once at all listeners.
+func TestHostileUnread(t *testing.T) {
+	target, f := startHostileTarget(t)
+	var crowds []hostileCrowd
+	for _, play := range []hostilePlay{playPipelined(5000), playBody(3 << 20), playStalledBody(hostileBody), playOversized(64 << 20)} {
+		crowds = append(crowds, hostileCrowd{size: hostileCrowdSize / 2, doors: f.callerDoors(), play: play}, hostileCrowd{size: hostileCrowdSize / 4, doors: f.otherDoors(), play: play})
+	}
+	target.withstand(t, crowds...)
+}
+
 // TestHostileExtensions guards against chunk extensions that take memory or go on without end.
 func TestHostileExtensions(t *testing.T) {
 	runHostile(t, hostileCrowdSize, playExtensions(hostileBody), playExtensions(hostileBody))
--- a/cmd/ibiswinch/hostile_test.go
+++ b/cmd/ibiswinch/hostile_test.go
@@ -124,7 +124,7 @@
 type hostileTarget struct {
 	c   *qt.C
 	pid int
-	// maxBytes bounds the resident memory, maxSockets the open sockets.
+	// maxBytes bounds the resident memory with what the kernel has received and the process hasn't read, maxSockets the open sockets.
 	maxBytes, maxSockets int
 	// ask sends one ordinary request and returns the status line of its answer.
 	ask func() (string, error)
@@ -133,8 +133,8 @@
 // withstand runs the crowds at the same time and checks that the process lives within its bounds and answers an ordinary request, while
 // the crowds are still connected.
 func (target hostileTarget) withstand(t *testing.T, crowds ...hostileCrowd) {
-	stop, sampled := make(chan struct{}), make(chan int)
-	go func() { sampled <- countSockets(target.pid, stop) }()
+	stop, sampled := make(chan struct{}), make(chan hostileUsage)
+	go func() { sampled <- sampleUsage(target.pid, stop) }()
 	var wg sync.WaitGroup
 	for _, crowd := range crowds {
 		wg.Go(func() { target.c.Cleanup(crowd.run()) })
@@ -152,14 +152,21 @@
 		}
 	}
 	close(stop)
-	sockets, peak := <-sampled, peakBytes(target.pid)
-	t.Logf("%d MB at the peak of %d MB, %d sockets of %d, ordinary request: %q, %v", peak>>20, target.maxBytes>>20, sockets, target.maxSockets, line, err)
-	target.c.Check(peak > 0, qt.IsTrue, qt.Commentf("the process has ended"))
-	target.c.Check(peak <= target.maxBytes, qt.IsTrue, qt.Commentf("%d MB at the peak, %d MB allowed", peak>>20, target.maxBytes>>20))
-	target.c.Check(sockets <= target.maxSockets, qt.IsTrue, qt.Commentf("%d sockets, %d allowed", sockets, target.maxSockets))
+	target.checkBounds(t, <-sampled)
+	t.Logf("ordinary request: %q, %v", line, err)
 	target.c.Check(strings.Contains(line, " 200 "), qt.IsTrue, qt.Commentf("ordinary request: %q, %v", line, err))
 }
 
+// checkBounds checks that the process lives and has stayed within its bounds.
+func (target hostileTarget) checkBounds(t *testing.T, u hostileUsage) {
+	peak := peakBytes(target.pid)
+	t.Logf("%d MB resident at the peak, %d MB unread, together %d MB of %d MB; %d sockets of %d",
+		peak>>20, u.unread>>20, u.bytes>>20, target.maxBytes>>20, u.sockets, target.maxSockets)
+	target.c.Check(peak > 0, qt.IsTrue, qt.Commentf("the process has ended"))
+	target.c.Check(max(peak, u.bytes) <= target.maxBytes, qt.IsTrue, qt.Commentf("%d MB resident, %d MB with what is unread, %d MB allowed", peak>>20, u.bytes>>20, target.maxBytes>>20))
+	target.c.Check(u.sockets <= target.maxSockets, qt.IsTrue, qt.Commentf("%d sockets, %d allowed", u.sockets, target.maxSockets))
+}
+
 // peakBytes returns the largest resident memory of a process so far, 0 if it has ended.
 func peakBytes(pid int) int {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
@@ -171,26 +178,6 @@
 	return kilobytes << 10
 }
 
-// countSockets returns the largest number of sockets that the process has open at a time until stop is closed.
-func countSockets(pid int, stop <-chan struct{}) int {
-	most := 0
-	for {
-		select {
-		case <-stop:
-			return most
-		case <-time.After(hostileSampleInterval):
-		}
-		descriptors, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
-		n := 0
-		for _, d := range descriptors {
-			if link, err := os.Readlink(d); err == nil && strings.HasPrefix(link, "socket:") {
-				n++
-			}
-		}
-		most = max(most, n)
-	}
-}
-
 // hostileFields returns short header lines, each with a name of its own, of about the given size in all.
 func hostileFields(size int) string {
 	var b strings.Builder
@@ -225,6 +212,18 @@
 	}
 }
 
+// playBody sends whole requests one after the other and reads nothing.
+func playBody(size int) hostilePlay {
+	text := repeatTo(size, "a")
+	return func(conn net.Conn, d hostileDoor) {
+		for {
+			if _, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", d.start("POST"), size, text); err != nil {
+				return
+			}
+		}
+	}
+}
+
 func playStalledPieces(size int) hostilePlay {
 	piece := repeatTo(997, "a")
 	return func(conn net.Conn, d hostileDoor) {
--- a/cmd/ibiswinch/listeners.go
+++ b/cmd/ibiswinch/listeners.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"math"
@@ -14,27 +15,16 @@
 
 	"ibiswinch/core/catalog"
 	"ibiswinch/core/event"
+	"ibiswinch/core/memory"
+	"ibiswinch/core/sockets"
 	"ibiswinch/io/apexlog"
 	"ibiswinch/io/inbound"
 	"ibiswinch/io/peer"
+	"ibiswinch/io/tcp"
 	"ibiswinch/platform"
 )
 
 const (
-	// reservedFiles are the file descriptors of the settings that aren't for sockets.
-	reservedFiles = 200
-	// inspectionConnections is the limit of the listener for readiness checks and of that for metrics and state.
-	inspectionConnections = 8
-	// peerConnectionsPercent is the part of the sockets for calls of other entry VMs, at least minPeerConnections.
-	peerConnectionsPercent = 8
-	minPeerConnections     = 16
-	// otherSockets are listeners and connections to the store and to other entry VMs.
-	otherSockets = 24
-	// socketsPerCaller are the connection of a caller and the one to the server that answers it.
-	socketsPerCaller = 2
-	// connectionBytes is what an open connection takes, connectionsMemoryPercent the part of the memory limit for those of callers.
-	connectionBytes          = 32 << 10
-	connectionsMemoryPercent = 25
 	// maxCallerHeaderBytes bounds the headers of a caller beyond the limits of the configuration.
 	maxCallerHeaderBytes = 64 << 10
 	// headerTimeout applies unless the configuration sets a longer one, up to maxHeaderTimeout. A shorter one would end requests that
@@ -55,26 +45,14 @@
 	peerIdleTimeout       = 100 * time.Second
 )
 
-// socketLimits are the limits of connections of each listener.
-type socketLimits struct {
-	callers, peers, inspection int
-}
-
-// newSocketLimits divides the sockets of the process. Without a number in the settings that of the operating system holds.
-func newSocketLimits(s platform.Settings) socketLimits {
+// newSocketLimits divides the sockets of a process. Without a number in the settings that of the operating system holds.
+func newSocketLimits(s platform.Settings) sockets.Limits {
 	files := s.FileDescriptors
 	var limit syscall.Rlimit
 	if files == 0 && syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil {
 		files = int(min(limit.Cur, math.MaxInt32))
 	}
-	sockets := files - reservedFiles
-	l := socketLimits{inspection: inspectionConnections, peers: max(sockets*peerConnectionsPercent/100, minPeerConnections)}
-	l.callers = (sockets - l.peers - 2*l.inspection - otherSockets) / socketsPerCaller
-	if s.MemoryBytes > 0 {
-		l.callers = min(l.callers, int(s.MemoryBytes*connectionsMemoryPercent/100/connectionBytes))
-	}
-	l.callers = max(l.callers, 1)
-	return l
+	return sockets.Divide(files, memory.Divide(s.MemoryBytes))
 }
 
 // server serves one listener.
@@ -84,21 +62,21 @@
 
 // startServers opens the listeners and serves them. It returns the server of the callers.
 func (p *platformProcess) startServers() (*http.Server, error) {
-	limits := newSocketLimits(p.settings)
-	callerServer := p.newCallerServer(limits.callers)
+	callerServer := p.newCallerServer()
+	listenConfig := net.ListenConfig{Control: tcp.Options{ReceiveBytes: p.sockets.ReceiveBytes}.Control}
 	servers := []struct {
 		address  netip.AddrPort
 		server   server
 		listener net.Listener
 	}{
 		{address: p.settings.CallerAddress, server: callerServer},
-		{address: p.settings.PeerAddress, server: p.newPeerServer(limits.peers)},
-		{address: p.settings.ReadinessAddress, server: p.newInspectionServer(limits.inspection, http.HandlerFunc(p.serveReadiness))},
-		{address: netip.AddrPortFrom(p.settings.Address, metricsPort), server: p.newInspectionServer(limits.inspection, p.inspectionMux())},
+		{address: p.settings.PeerAddress, server: p.newPeerServer()},
+		{address: p.settings.ReadinessAddress, server: p.newInspectionServer(http.HandlerFunc(p.serveReadiness))},
+		{address: netip.AddrPortFrom(p.settings.Address, metricsPort), server: p.newInspectionServer(p.inspectionMux())},
 	}
 	// Nothing is served before all listeners are open: without one of them the process ends.
 	for i, s := range servers {
-		listener, err := net.Listen("tcp4", s.address.String())
+		listener, err := listenConfig.Listen(context.Background(), "tcp4", s.address.String())
 		if err != nil {
 			for _, opened := range servers[:i] {
 				_ = opened.listener.Close()
@@ -117,28 +95,28 @@
 	return callerServer, nil
 }
 
-func (p *platformProcess) newCallerServer(maxConnections int) *http.Server {
+func (p *platformProcess) newCallerServer() *http.Server {
 	p.callers.Dropped, p.callers.HeaderTimeout, p.callers.IdleTimeout = p.logDropped, p.headerTimeout, p.idleTimeout
-	p.callers.Limits = inbound.NewLimits(maxConnections, p.memory)
+	p.callers.Limits = inbound.NewLimits(p.sockets.Callers, p.memory)
 	return &http.Server{
-		Handler:           &platform.CallerHandler{Gateway: p.gateway, Now: time.Now, ShouldCloseConnection: p.gateway.ShouldCloseConnection, Incoming: p.incoming},
+		Handler:           &platform.CallerHandler{Gateway: p.gateway, Now: time.Now, ShouldCloseConnection: p.gateway.ShouldCloseConnection, Incoming: p.incoming, WideBuffers: p.wideBuffers},
 		ConnContext:       platform.ConnContext,
 		ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxCallerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
 		ConnState: p.callers.SetState,
 	}
 }
 
-func (p *platformProcess) newPeerServer(maxConnections int) *inbound.Server {
+func (p *platformProcess) newPeerServer() *inbound.Server {
 	return inbound.NewServer(inbound.ServerConfig{
-		Handler: peer.NewPoolHandler(p.gateway, p.memory), Memory: p.memory, MaxConnections: maxConnections, MaxHeadBytes: inspectionHeadBytes,
+		Handler: peer.NewPoolHandler(p.gateway, p.memory), Memory: p.memory, MaxConnections: p.sockets.Peers, WideBuffers: p.wideBuffers, MaxHeadBytes: inspectionHeadBytes,
 		HeaderTimeout: headerTimeout, RequestTimeout: inspectionTimeout, IdleTimeout: peerIdleTimeout,
 	})
 }
 
 // newInspectionServer returns a server of one of the listeners for readiness, metrics and state.
-func (p *platformProcess) newInspectionServer(maxConnections int, h http.Handler) *inbound.Server {
+func (p *platformProcess) newInspectionServer(h http.Handler) *inbound.Server {
 	return inbound.NewServer(inbound.ServerConfig{
-		Handler: h, Memory: p.memory, MaxConnections: maxConnections, MaxHeadBytes: inspectionHeadBytes,
+		Handler: h, Memory: p.memory, MaxConnections: p.sockets.Inspection, MaxHeadBytes: inspectionHeadBytes,
 		HeaderTimeout: headerTimeout, RequestTimeout: inspectionTimeout, WriteTimeout: inspectionTimeout, IdleTimeout: inspectionIdleTimeout,
 	})
 }
--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -16,10 +16,12 @@
 	"ibiswinch/core/memory"
 	"ibiswinch/core/overload"
 	"ibiswinch/core/retry"
+	"ibiswinch/core/sockets"
 	"ibiswinch/gateway"
 	"ibiswinch/io/apexlog"
 	"ibiswinch/io/peer"
 	"ibiswinch/io/prometheus"
+	"ibiswinch/io/tcp"
 	"ibiswinch/io/usage"
 	"ibiswinch/platform"
 )
@@ -46,10 +48,6 @@
 	// ledger. A store that allows more serves a larger fleet, whose entry VMs would append to the same partition at
 	// once.
 	readsPerSecondPerPartition = 1000
-	// softMemoryPercent is the soft memory limit of the Go runtime in percent of the memory limit of the settings.
-	softMemoryPercent = 60
-	// heldMemoryPercent is the part of the memory limit of the settings that may be held for requests and answers, in percent.
-	heldMemoryPercent = 30
 	// gcPercent is the growth of the heap between two garbage collections, in percent.
 	gcPercent = 200
 	// watchInterval is the time between two checks of the settings file and the dropped log lines.
@@ -67,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(settings.MemoryBytes * softMemoryPercent / 100)
+	debug.SetMemoryLimit(memory.Divide(settings.MemoryBytes).Runtime)
 	debug.SetGCPercent(gcPercent)
 	p, err := c.newProcess(settings)
 	if err != nil {
@@ -103,10 +101,16 @@
 	memory *memory.Limiter
 	// incoming bounds what is held for requests of callers that are being received.
 	incoming *memory.Incoming
+	// sockets divides the sockets of the process and the memory of what they have received.
+	sockets     sockets.Limits
+	wideBuffers *tcp.WideBuffers
 }
 
 func (c *platformCommand) newProcess(s platform.Settings) (*platformProcess, error) {
-	p := &platformProcess{settingsPath: c.Settings, settings: s, memory: memory.NewLimiter(s.MemoryBytes * heldMemoryPercent / 100)}
+	p := &platformProcess{
+		settingsPath: c.Settings, settings: s, memory: memory.NewLimiter(memory.Divide(s.MemoryBytes).Held), sockets: newSocketLimits(s),
+	}
+	p.wideBuffers = tcp.NewWideBuffers(p.sockets.Buffers)
 	p.incoming = memory.NewIncoming(p.memory)
 	p.logOutput = apexlog.NewRateLimitedWriter(apexlog.RateLimitedWriterConfig{
 		Output: os.Stdout, LinesPerSecond: logLinesPerSecond, BytesPerSecond: logBytesPerSecond, QueueCapacity: maxPendingLogLines, Now: time.Now,
@@ -130,8 +134,12 @@
 		return nil, err
 	}
 	p.gateway = gateway.New(gateway.Config{
-		Name: s.Name, Incarnation: incarnation, Zone: s.Zone, Log: platform.NewStore(s.StoreAddress), Decoder: platform.Decoder{}, Encoder: platform.Encoder{},
-		Backend: platform.NewServerClient(platform.ServerClientConfig{Now: time.Now, Traffic: &p.traffic, Memory: p.memory}), Peers: peer.NewPoolClient(platform.PeerDialer()), Address: s.PeerAddress, Now: time.Now, Events: p.events, Metrics: p.metrics,
+		Name: s.Name, Incarnation: incarnation, Zone: s.Zone, Decoder: platform.Decoder{}, Encoder: platform.Encoder{},
+		Log: platform.NewStore(platform.StoreConfig{Address: s.StoreAddress, ReceiveBytes: p.sockets.StoreReceiveBytes}),
+		Backend: platform.NewServerClient(platform.ServerClientConfig{
+			Now: time.Now, Traffic: &p.traffic, Memory: p.memory, Sockets: p.sockets, WideBuffers: p.wideBuffers,
+		}),
+		Peers: peer.NewPoolClient(platform.PeerDialer(p.sockets)), Address: s.PeerAddress, Now: time.Now, Events: p.events, Metrics: p.metrics,
 		Retries: retry.WindowBudgetConfig{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow}, ServerHeartbeat: s.ServerHeartbeat,
 		ColdOvershoot: s.ColdOvershoot, ColdSlack: s.ColdSlack, Regions: s.Regions,
 		LedgerPartitions: max(min(int(s.StoreReadsPerSecond/readsPerSecondPerPartition), s.MaxPartitions), 1), Seed: uint64(time.Now().UnixNano()),
--- a/cmd/ibiswinch/serve.go
+++ b/cmd/ibiswinch/serve.go
@@ -18,10 +18,12 @@
 
 	"ibiswinch/core/membership"
 	"ibiswinch/core/record"
+	"ibiswinch/core/sockets"
 	"ibiswinch/entry"
 	"ibiswinch/io/apexlog"
 	"ibiswinch/io/ini"
 	"ibiswinch/io/platform"
+	"ibiswinch/io/tcp"
 )
 
 func init() {
@@ -39,11 +41,15 @@
 		return err
 	}
 	debug.SetMemoryLimit(restingBytes + softHeldFactor*int64(settings.Memory.MaxHeldBytes))
-	vm, err := newVM(settings)
+	cfg, err := newConfig(settings)
 	if err != nil {
 		return err
 	}
-	listeners, err := openListeners(settings)
+	vm, err := entry.New(cfg)
+	if err != nil {
+		return err
+	}
+	listeners, err := openListeners(settings, cfg.Buffers())
 	if err != nil {
 		return err
 	}
@@ -70,18 +76,18 @@
 	return hex.EncodeToString(random), nil
 }
 
-func newVM(s *ini.Settings) (*entry.VM, error) {
+func newConfig(s *ini.Settings) (entry.Config, error) {
 	events, err := apexlog.New(apexlog.Config{
 		Output: os.Stderr, Format: string(s.Log.Format), Level: string(s.Log.Level), VM: s.Identity.VM,
 	})
 	if err != nil {
-		return nil, err
+		return entry.Config{}, err
 	}
 	incarnation, err := newIncarnation()
 	if err != nil {
-		return nil, err
+		return entry.Config{}, err
 	}
-	return entry.New(entry.Config{
+	return entry.Config{
 		Author:          record.Author{VM: s.Identity.VM, Incarnation: incarnation},
 		Started:         time.Now(),
 		Domain:          s.Identity.Domain,
@@ -99,7 +105,7 @@
 		SnapshotEntries: s.Platform.SnapshotEntries,
 		ListInterval:    s.Platform.ListInterval,
 		DrainTimeout:    s.Timings.DrainTimeout,
-	})
+	}, nil
 }
 
 // Open files of the process: a stream has a connection to its caller and one to an engine; the reserved ones are for
@@ -128,24 +134,25 @@
 	return seeds
 }
 
-func openListeners(s *ini.Settings) (entry.Listeners, error) {
+func openListeners(s *ini.Settings, b sockets.Buffers) (entry.Listeners, error) {
 	var l entry.Listeners
 	var err error
-	if l.Callers, err = listen(s.Callers.Listen, s.Callers.Certificate); err != nil {
+	if l.Callers, err = listen(s.Callers.Listen, s.Callers.Certificate, b); err != nil {
 		return l, eris.Wrap(err, "listen for callers")
 	}
-	if l.Peers, err = listen(s.Peers.Listen, s.Peers.Certificate); err != nil {
+	if l.Peers, err = listen(s.Peers.Listen, s.Peers.Certificate, b); err != nil {
 		return l, eris.Wrap(err, "listen for peers")
 	}
-	if l.Operators, err = listen(s.Operator.Listen, s.Operator.Certificate); err != nil {
+	if l.Operators, err = listen(s.Operator.Listen, s.Operator.Certificate, b); err != nil {
 		return l, eris.Wrap(err, "listen for operators")
 	}
 	return l, nil
 }
 
 // listen opens a listener, with TLS if cert isn't nil.
-func listen(addr netip.AddrPort, cert *tls.Certificate) (net.Listener, error) {
-	l, err := net.Listen("tcp", addr.String())
+func listen(addr netip.AddrPort, cert *tls.Certificate, b sockets.Buffers) (net.Listener, error) {
+	cfg := net.ListenConfig{Control: tcp.Options{ReceiveBytes: b.ReceiveBytes}.Control}
+	l, err := cfg.Listen(context.Background(), "tcp", addr.String())
 	if err != nil || cert == nil {
 		return l, err
 	}
--- a/cmd/ibiswinch/stop_test.go
+++ b/cmd/ibiswinch/stop_test.go
@@ -21,6 +21,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"ibiswinch/io/peer"
+	"ibiswinch/io/tcp"
 	"ibiswinch/standin/keyedlog"
 )
 
@@ -189,7 +190,7 @@
 
 // drawTokens draws more tokens from the entry VM than it has, until done is closed.
 func (f *platformFixture) drawTokens(done <-chan struct{}) {
-	client := peer.NewPoolClient(&net.Dialer{})
+	client := peer.NewPoolClient(&tcp.Dialer{})
 	for {
 		_, _ = client.Draw(context.Background(), netip.MustParseAddrPort(f.peer), "team-1", 1_000_000, 1_000_000)
 		select {
--- a/entry/http.go
+++ b/entry/http.go
@@ -13,6 +13,7 @@
 	"ibiswinch/io/inbound"
 	"ibiswinch/io/operator"
 	"ibiswinch/io/peer"
+	"ibiswinch/io/tcp"
 )
 
 // Timeouts and bounds of the HTTP servers.
@@ -45,14 +46,15 @@
 }
 
 func (vm *VM) httpServers(l Listeners) []*httpServer {
+	wide := tcp.NewWideBuffers(vm.cfg.Buffers())
 	return []*httpServer{
 		{listener: l.Callers, forCallers: true, server: inbound.NewServer(inbound.ServerConfig{
 			Handler: vm.callerServer, Memory: vm.memory, MaxConnections: vm.cfg.MaxStreams + idleCallerConnections, MaxHeadBytes: maxHeaderBytes,
-			HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnContext: limitSendBuffer,
+			HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnContext: limitSendBuffer, WideBuffers: wide,
 		})},
 		{listener: l.Peers, server: inbound.NewServer(inbound.ServerConfig{
 			Handler: peer.NewHandler(peerServer{vm: vm}, vm.cfg.PeerToken), Memory: vm.memory, MaxConnections: peerConnections, MaxHeadBytes: innerHeaderBytes,
-			HeaderTimeout: readHeaderTimeout, RequestTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+			HeaderTimeout: readHeaderTimeout, RequestTimeout: bodyTimeout, IdleTimeout: idleTimeout, WideBuffers: wide,
 		})},
 		{listener: l.Operators, server: inbound.NewServer(inbound.ServerConfig{
 			Handler: operator.NewHandler(operator.Config{
--- a/entry/server.go
+++ b/entry/server.go
@@ -251,7 +251,7 @@
 		old.client.Close()
 	}
 	s.services[v.Name] = &serviceEntry{Server: v, client: service.NewClient(service.Config{
-		Address: v.Address, MaxIdleConns: maxIdleConnections,
+		Address: v.Address, MaxIdleConns: maxIdleConnections, ReceiveBuffer: engineReceiveBuffer,
 	})}
 }
 
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -23,6 +23,7 @@
 	"ibiswinch/core/memory"
 	"ibiswinch/core/record"
 	"ibiswinch/core/refusal"
+	"ibiswinch/core/sockets"
 	"ibiswinch/entry/stream"
 	"ibiswinch/io/apexlog"
 	"ibiswinch/io/openai"
@@ -68,6 +69,11 @@
 	DrainTimeout    time.Duration
 }
 
+// Buffers returns the receive buffers of the connections to the listeners: in all as many bytes as may be held for requests.
+func (cfg Config) Buffers() sockets.Buffers {
+	return sockets.NewBuffers(cfg.MaxStreams+idleCallerConnections+peerConnections+operatorConnections, cfg.MaxHeldBytes)
+}
+
 // Platform is the part of the platform's API that an entry VM needs.
 type Platform interface {
 	stream.Log
--- a/io/inbound/server.go
+++ b/io/inbound/server.go
@@ -8,10 +8,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"ibiswinch/core/connections"
 	"ibiswinch/core/memory"
+	"ibiswinch/io/tcp"
 )
 
 // plainAnswer is the answer to a request without TLS on a TLS listener.
@@ -31,6 +33,8 @@
 	// WriteTimeout bounds the time from the head to the end of the answer, 0 if Handler bounds it. IdleTimeout bounds the time between
 	// two requests.
 	HeaderTimeout, RequestTimeout, WriteTimeout, IdleTimeout time.Duration
+	// WideBuffers gives long bodies wide receive buffers; it may be nil.
+	WideBuffers *tcp.WideBuffers
 	// ConnContext is that of http.Server. It may be nil.
 	ConnContext func(ctx context.Context, c net.Conn) context.Context
 }
@@ -45,7 +49,7 @@
 func NewServer(cfg ServerConfig) *Server {
 	s := &Server{limits: NewLimits(cfg.MaxConnections, cfg.Memory)}
 	s.Server = &http.Server{
-		Handler: &headCounter{next: cfg.Handler, memory: cfg.Memory}, MaxHeaderBytes: cfg.MaxHeadBytes, ConnState: setState,
+		Handler: &headCounter{next: cfg.Handler, memory: cfg.Memory, buffers: cfg.WideBuffers}, MaxHeaderBytes: cfg.MaxHeadBytes, ConnState: setState,
 		ReadHeaderTimeout: cfg.HeaderTimeout, ReadTimeout: cfg.RequestTimeout, WriteTimeout: cfg.WriteTimeout, IdleTimeout: cfg.IdleTimeout,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			if tracked, ok := c.(*conn); ok {
@@ -70,8 +74,9 @@
 
 // headCounter counts the head of a request until its answer is written, and refuses a request whose head may not be held.
 type headCounter struct {
-	next   http.Handler
-	memory *memory.Limiter
+	next    http.Handler
+	memory  *memory.Limiter
+	buffers *tcp.WideBuffers
 }
 
 // ServeHTTP implements http.Handler.
@@ -90,6 +95,8 @@
 	body := &requestBody{ReadCloser: r.Body}
 	if tracked != nil {
 		body.tracker = tracked.tracker
+		body.transfer = h.buffers.NewTransfer(r.Body, tracked.socket())
+		defer body.transfer.End()
 	}
 	if r.ContentLength == 0 {
 		body.end()
@@ -105,13 +112,20 @@
 // requestBody records that a body has been read to its end.
 type requestBody struct {
 	io.ReadCloser
-	tracker *Tracker
-	isRead  bool
+	tracker  *Tracker
+	transfer *tcp.Transfer
+	isRead   bool
 }
 
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
+	var n int
+	var err error
+	if b.transfer != nil {
+		n, err = b.transfer.Read(p)
+	} else {
+		n, err = b.ReadCloser.Read(p)
+	}
 	if err == io.EOF {
 		b.end()
 	}
@@ -119,9 +133,13 @@
 }
 
 func (b *requestBody) end() {
-	if !b.isRead {
-		b.isRead = true
-		b.tracker.EndRequest()
+	if b.isRead {
+		return
+	}
+	b.isRead = true
+	b.tracker.EndRequest()
+	if b.transfer != nil {
+		b.transfer.End()
 	}
 }
 
@@ -170,6 +188,16 @@
 	endedReads, endedWrites bool
 }
 
+// socket returns the socket below the connection, nil if there is none.
+func (c *conn) socket() syscall.Conn {
+	below := c.Conn
+	if secure, ok := below.(*tls.Conn); ok {
+		below = secure.NetConn()
+	}
+	socket, _ := below.(syscall.Conn)
+	return socket
+}
+
 // expired is a deadline that has passed.
 var expired = time.Unix(1, 0)
 
--- a/io/internal/roundtrip/roundtrip.go
+++ b/io/internal/roundtrip/roundtrip.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"ibiswinch/io/http1"
+	"ibiswinch/io/tcp"
 )
 
 const (
@@ -49,16 +50,13 @@
 
 // NewTransport returns a transport without proxy, compression or HTTP/2.
 func NewTransport(o Options) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: tcp.Options{ReceiveBytes: o.ReceiveBuffer}.Control}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			if tcp, ok := conn.(*net.TCPConn); ok && o.ReceiveBuffer > 0 {
-				_ = tcp.SetReadBuffer(o.ReceiveBuffer)
-			}
 			return &countedConn{Conn: conn, closed: make(chan struct{})}, nil
 		},
 		MaxConnsPerHost:     o.MaxConns,
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -15,6 +15,7 @@
 	"github.com/twitchtv/twirp"
 
 	"ibiswinch/core/record"
+	"ibiswinch/io/tcp"
 )
 
 // maxRequestBytes limits the body of a request. The largest one is the digest of 850 members.
@@ -56,12 +57,14 @@
 	dialTimeout         = time.Second
 	idleConnTimeout     = 90 * time.Second
 	maxIdleConnsPerPeer = 8
+	// receiveBuffer is the size of a socket's receive buffer in bytes.
+	receiveBuffer = 64 << 10
 )
 
 // NewClientFactory returns a factory of clients with the given settings.
 func NewClientFactory(cfg ClientFactoryConfig) *ClientFactory {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: dialTimeout, Control: tcp.Options{ReceiveBytes: receiveBuffer}.Control}).DialContext,
 		TLSClientConfig:     cfg.TLS,
 		IdleConnTimeout:     idleConnTimeout,
 		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
--- a/io/peer/loads_test.go
+++ b/io/peer/loads_test.go
@@ -12,6 +12,7 @@
 	"ibiswinch/core/cost"
 	"ibiswinch/core/memory"
 	"ibiswinch/io/peer"
+	"ibiswinch/io/tcp"
 )
 
 // loadPool answers reports with fixed loads.
@@ -30,7 +31,7 @@
 	got = &[]cost.Report{}
 	server = httptest.NewServer(peer.NewPoolHandler(loadPool{got: got, gives: gives}, memory.NewLimiter(0)))
 	c.Cleanup(server.Close)
-	return peer.NewPoolClient(&net.Dialer{}), server, got
+	return peer.NewPoolClient(&tcp.Dialer{}), server, got
 }
 
 // TestLoadsArriveUnchanged guards against loads that arrive changed in either direction, and against messages whose size takes
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -20,6 +19,7 @@
 	"ibiswinch/core/keyed"
 	"ibiswinch/core/memory"
 	"ibiswinch/io/inbound"
+	"ibiswinch/io/tcp"
 )
 
 const (
@@ -128,12 +128,13 @@
 	clients map[netip.AddrPort]Pool
 }
 
-// NewPoolClient returns a client that connects through dialer, whose Timeout it sets.
-func NewPoolClient(dialer *net.Dialer) *PoolClient {
-	dialer.Timeout = poolDialTimeout
-	return &PoolClient{clients: map[netip.AddrPort]Pool{}, http: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: poolMaxIdleConnsPerPeer, IdleConnTimeout: idleConnTimeout,
-	}}}
+// NewPoolClient returns a client that connects through dialer, whose Timeout and CloseIdle it sets.
+func NewPoolClient(dialer *tcp.Dialer) *PoolClient {
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: poolMaxIdleConnsPerPeer, MaxIdleConns: dialer.Limit / 2, IdleConnTimeout: idleConnTimeout,
+	}
+	dialer.Timeout, dialer.CloseIdle = poolDialTimeout, transport.CloseIdleConnections
+	return &PoolClient{clients: map[netip.AddrPort]Pool{}, http: &http.Client{Transport: transport}}
 }
 
 func (c *PoolClient) clientFor(addr netip.AddrPort) Pool {
--- a/io/peer/pool_test.go
+++ b/io/peer/pool_test.go
@@ -13,6 +13,7 @@
 	"ibiswinch/core/keyed"
 	"ibiswinch/core/memory"
 	"ibiswinch/io/peer"
+	"ibiswinch/io/tcp"
 )
 
 // fixedPool gives the same number of tokens to each caller.
@@ -31,7 +32,7 @@
 	for gives, valid := range map[int64]bool{0: true, need: true, want: true, want + 1: false, -1: false, math.MaxInt64: false, math.MinInt64: false} {
 		server := httptest.NewServer(peer.NewPoolHandler(fixedPool{gives}, memory.NewLimiter(0)))
 		addr := server.Listener.Addr().(*net.TCPAddr).AddrPort()
-		n, err := peer.NewPoolClient(&net.Dialer{}).Draw(context.Background(), addr, "team", need, want)
+		n, err := peer.NewPoolClient(&tcp.Dialer{}).Draw(context.Background(), addr, "team", need, want)
 		server.Close()
 		c.Check(err == nil, qt.Equals, valid, qt.Commentf("%d", gives))
 		if valid {
@@ -59,7 +60,7 @@
 	server := httptest.NewServer(peer.NewPoolHandler(learningPool{learned: &learned}, memory.NewLimiter(0)))
 	defer server.Close()
 	addr := server.Listener.Addr().(*net.TCPAddr).AddrPort()
-	client := peer.NewPoolClient(&net.Dialer{})
+	client := peer.NewPoolClient(&tcp.Dialer{})
 	for key, want := range map[string]bool{"team/vm-1": true, "unknown": false} {
 		sent := keyed.Record{Key: key, Value: []byte(`{"reserved":5}`)}
 		known, err := client.Share(context.Background(), addr, []keyed.Record{sent})
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -28,6 +28,9 @@
 // maxIdleConns is enough for one long poll per stream, the appends and the reads of the lists.
 const maxIdleConns = 16
 
+// receiveBuffer is the size of the receive buffer of a socket in bytes.
+const receiveBuffer = 64 << 10
+
 // Config holds the settings of a client.
 type Config struct {
 	Address netip.AddrPort
@@ -43,7 +46,7 @@
 func NewClient(cfg Config) *Client {
 	return &Client{
 		base:      "http://" + cfg.Address.String(),
-		transport: roundtrip.NewTransport(roundtrip.Options{MaxIdleConns: maxIdleConns}),
+		transport: roundtrip.NewTransport(roundtrip.Options{MaxIdleConns: maxIdleConns, ReceiveBuffer: receiveBuffer}),
 	}
 }
 
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -53,6 +53,8 @@
 	Address netip.AddrPort
 	// MaxIdleConns is the number of idle connections kept; 0 means 2.
 	MaxIdleConns int
+	// ReceiveBuffer is the size of a socket's receive buffer in bytes; 0 means the system's default.
+	ReceiveBuffer int
 	// MaxRequestBytes and MaxResponseBytes limit the bodies; 0 means the default.
 	MaxRequestBytes  int
 	MaxResponseBytes int64
@@ -72,7 +74,7 @@
 	if cfg.MaxResponseBytes == 0 {
 		cfg.MaxResponseBytes = DefaultMaxResponseBytes
 	}
-	transport := roundtrip.NewTransport(roundtrip.Options{MaxIdleConns: cfg.MaxIdleConns})
+	transport := roundtrip.NewTransport(roundtrip.Options{MaxIdleConns: cfg.MaxIdleConns, ReceiveBuffer: cfg.ReceiveBuffer})
 	return &Client{cfg: cfg, transport: transport}
 }
 
--- /dev/null
+++ b/io/tcp/tcp_test.go
@@ -0,0 +1,109 @@
+package tcp_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"ibiswinch/core/sockets"
+	"ibiswinch/io/tcp"
+)
+
+// dialPair returns both ends of a connection to a listener with the given receive buffer.
+func dialPair(c *qt.C, receiveBytes int, dial func(ctx context.Context, network, address string) (net.Conn, error)) (dialed, accepted net.Conn, err error) {
+	cfg := net.ListenConfig{Control: tcp.Options{ReceiveBytes: receiveBytes}.Control}
+	listener, err := cfg.Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	if dialed, err = dial(context.Background(), "tcp4", listener.Addr().String()); err != nil {
+		return nil, nil, err
+	}
+	accepted, err = listener.Accept()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _, _ = dialed.Close(), accepted.Close() })
+	return dialed, accepted, nil
+}
+
+// receiveBuffer returns the receive buffer of a socket as the kernel has it, which is twice what was set.
+func receiveBuffer(c *qt.C, conn net.Conn) int {
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	c.Assert(err, qt.IsNil)
+	size := 0
+	c.Assert(raw.Control(func(fd uintptr) { size, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF) }), qt.IsNil)
+	c.Assert(err, qt.IsNil)
+	return size
+}
+
+// TestWideBuffersExceedMemory guards against long transfers that together get more than the memory for them, and against a buffer that
+// stays wide, and counted, after its transfer.
+func TestWideBuffersExceedMemory(t *testing.T) {
+	c := qt.New(t)
+	sizes := sockets.NewBuffers(100, 1<<20)
+	buffers := tcp.NewWideBuffers(sizes)
+	wide := 0
+	var transfers []*tcp.Transfer
+	var conns []net.Conn
+	for range 2 * sizes.WideTotal / sizes.WideCost {
+		dialed, accepted, err := dialPair(c, sizes.ReceiveBytes, (&net.Dialer{}).DialContext)
+		c.Assert(err, qt.IsNil)
+		transfer := buffers.NewTransfer(accepted, accepted.(syscall.Conn))
+		_, err = dialed.Write(make([]byte, 100))
+		c.Assert(err, qt.IsNil)
+		_, err = io.ReadFull(transfer, make([]byte, 100))
+		c.Assert(err, qt.IsNil)
+		c.Assert(receiveBuffer(c, accepted), qt.Equals, 2*sizes.ReceiveBytes)
+		go func() { _, _ = dialed.Write(make([]byte, 64<<10)) }()
+		_, err = io.ReadFull(transfer, make([]byte, 64<<10))
+		c.Assert(err, qt.IsNil)
+		if receiveBuffer(c, accepted) == 2*sizes.WideBytes {
+			wide++
+		}
+		transfers, conns = append(transfers, transfer), append(conns, accepted)
+	}
+	c.Assert(wide > 0, qt.IsTrue)
+	c.Assert(int64(wide)*sizes.WideCost <= sizes.WideTotal, qt.IsTrue, qt.Commentf("%d wide buffers", wide))
+	for i, transfer := range transfers {
+		transfer.End()
+		transfer.End()
+		c.Assert(receiveBuffer(c, conns[i]), qt.Equals, 2*sizes.ReceiveBytes)
+	}
+}
+
+// TestConnectionsExceedLimit guards against connections to servers that take the descriptors of the callers, and against a limit that
+// idle connections use up or that closed ones don't give back.
+func TestConnectionsExceedLimit(t *testing.T) {
+	c := qt.New(t)
+	var idle []net.Conn
+	var closed atomic.Int64
+	dialer := &tcp.Dialer{Limit: 2}
+	dialer.CloseIdle = func() {
+		for _, conn := range idle {
+			_ = conn.Close()
+			closed.Add(1)
+		}
+		idle = nil
+	}
+	var open []net.Conn
+	for range 2 {
+		conn, _, err := dialPair(c, 0, dialer.DialContext)
+		c.Assert(err, qt.IsNil)
+		open = append(open, conn)
+	}
+	_, _, err := dialPair(c, 0, dialer.DialContext)
+	c.Assert(err, qt.ErrorIs, syscall.EMFILE)
+	idle = open[:1]
+	_, _, err = dialPair(c, 0, dialer.DialContext)
+	c.Assert(err, qt.IsNil)
+	c.Assert(closed.Load(), qt.Equals, int64(1))
+	_ = open[1].Close()
+	_ = open[1].Close()
+	_, _, err = dialPair(c, 0, dialer.DialContext)
+	c.Assert(err, qt.IsNil)
+	_, _, err = dialPair(c, 0, dialer.DialContext)
+	c.Assert(err, qt.ErrorIs, syscall.EMFILE)
+}
