connections: callers that don't read their last answer keep no others out

What callers saw: beside clients that stop reading answers of 2 MB, and other load, no ordinary request on a new connection was served for seconds; each got a reset or EOF.

Cause, traced by the phases of the connections: 95 to 99 of 106 were idle. Their short refusals lay in the kernel, unread by their peers. The seven that were chosen to be closed waited up to 8 s for their peers to read (linger), and counted as closing all that time, so that no other was chosen.

Failed before: TestHostileStoppedReaders, new, asks on new connections while the crowd is connected.

All searches are 20 ms apart now, not only those that found nothing.

--- a/cmd/ibiswinch/hostile_platform_test.go
+++ b/cmd/ibiswinch/hostile_platform_test.go
@@ -24,6 +24,8 @@
 	// hostileCrowdSize is the size of a crowd that fills the memory, hostileConnections that of one that fills the descriptors.
 	hostileCrowdSize   = 200
 	hostileConnections = 450
+	// hostileReaders is the size of a crowd that stops reading.
+	hostileReaders = 400
 	// hostileAnswer is the size of an answer of the slow route.
 	hostileAnswer = 2 << 20
 	// hostileHeadTimeout and hostileIdleTimeout are limits of the configuration.
@@ -212,6 +214,16 @@
 	target.withstand(t, hostileCrowd{size: hostileCrowdSize, doors: doors, play: playSlowReader("ok")})
 }
 
+// TestHostileStoppedReaders guards against callers that stop reading large answers, come again when they are closed, and keep the
+// ordinary callers out, beside other crowds that keep the process busy.
+func TestHostileStoppedReaders(t *testing.T) {
+	target, f := startHostileTarget(t)
+	large := []hostileDoor{{address: f.front, target: "/large/1", host: "a.example", headers: hostileKey}}
+	target.servesBeside(t, hostileCrowd{size: hostileReaders, doors: large, play: playNoReader("ok")},
+		hostileCrowd{size: hostileCrowdSize / 4, doors: f.callerDoors(), play: playPipelined(5000)},
+		hostileCrowd{size: hostileCrowdSize / 4, doors: f.callerDoors(), play: playStalledBody(hostileBody)})
+}
+
 // TestHostileMessages guards against messages between entry VMs, of legal size, whose many empty parts take far more memory than their
 // bytes.
 func TestHostileMessages(t *testing.T) {
--- a/cmd/ibiswinch/hostile_test.go
+++ b/cmd/ibiswinch/hostile_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 )
 
 // hostileBinaries is the directory of the binaries that all these tests share.
@@ -61,6 +62,11 @@
 	hostileSampleInterval = 10 * time.Millisecond
 	// hostileAnswerTimeout only ends a test whose ordinary request is never answered.
 	hostileAnswerTimeout = 60 * time.Second
+	// hostileWindow is shorter than the time-out of a write to a caller, so that a crowd that stops reading isn't gone by then.
+	hostileWindow  = 4 * time.Second
+	hostileWindows = 3
+	// hostileReturnPause is the time after which a member whose connection was closed comes again.
+	hostileReturnPause = time.Second
 	// hostileSlowPause is the time between two bytes, or pieces, of a slow member.
 	hostileSlowPause = 200 * time.Millisecond
 	// hostileBody is the largest legal size of a body, hostileHead a size of a head below the limit of the configuration.
@@ -120,6 +126,51 @@
 	}
 }
 
+// hostileLasting is a crowd whose members come again when their connections are closed.
+type hostileLasting struct {
+	hostileCrowd
+	stop chan struct{}
+	wg   sync.WaitGroup
+}
+
+// startLasting starts a crowd that lasts until close.
+func (crowd hostileCrowd) startLasting() *hostileLasting {
+	l := &hostileLasting{hostileCrowd: crowd, stop: make(chan struct{})}
+	for i := range crowd.size {
+		l.wg.Go(func() { l.runMember(crowd.doors[i%len(crowd.doors)]) })
+	}
+	return l
+}
+
+func (l *hostileLasting) runMember(d hostileDoor) {
+	for {
+		if conn, err := net.DialTimeout("tcp4", d.address, hostileSendTimeout); err == nil {
+			// The play ends with the crowd too.
+			played := make(chan struct{})
+			go func() {
+				defer close(played)
+				l.play(conn, d)
+			}()
+			select {
+			case <-played:
+			case <-l.stop:
+			}
+			_ = conn.Close()
+			<-played
+		}
+		select {
+		case <-l.stop:
+			return
+		case <-time.After(hostileReturnPause):
+		}
+	}
+}
+
+func (l *hostileLasting) close() {
+	close(l.stop)
+	l.wg.Wait()
+}
+
 // hostileTarget is a process under a crowd, with the bounds that it must stay within.
 type hostileTarget struct {
 	c   *qt.C
@@ -157,6 +208,34 @@
 	target.c.Check(strings.Contains(line, " 200 "), qt.IsTrue, qt.Commentf("ordinary request: %q, %v", line, err))
 }
 
+// servesBeside runs lasting crowds and checks that the process lives within its bounds and serves an ordinary request on a new
+// connection in each window of the time for which they are connected.
+func (target hostileTarget) servesBeside(t *testing.T, crowds ...hostileCrowd) {
+	stop, sampled := make(chan struct{}), make(chan hostileUsage)
+	go func() { sampled <- sampleUsage(target.pid, stop) }()
+	for _, crowd := range crowds {
+		target.c.Cleanup(crowd.startLasting().close)
+	}
+	time.Sleep(hostileHoldTime)
+	for i := range hostileWindows {
+		asked, served := 0, 0
+		failures := map[string]int{}
+		for end := time.Now().Add(hostileWindow); time.Now().Before(end); time.Sleep(hostileSampleInterval) {
+			line, err := target.ask()
+			asked++
+			if err == nil && strings.Contains(line, " 200 ") {
+				served++
+			} else {
+				failures[fmt.Sprint(line, " ", err)]++
+			}
+		}
+		t.Logf("window %d: %d of %d ordinary requests served, others: %v", i, served, asked, failures)
+		target.c.Check(served > 0, qt.IsTrue, qt.Commentf("window %d: none of %d ordinary requests was served", i, asked))
+	}
+	close(stop)
+	target.checkBounds(t, <-sampled)
+}
+
 // checkBounds checks that the process lives and has stayed within its bounds.
 func (target hostileTarget) checkBounds(t *testing.T, u hostileUsage) {
 	peak := peakBytes(target.pid)
@@ -327,6 +406,28 @@
 	}
 }
 
+// playNoReader sends one request, reads nothing of its answer, and returns once the connection has been closed.
+func playNoReader(body string) hostilePlay {
+	return func(conn net.Conn, d hostileDoor) {
+		_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", d.start("POST"), len(body), body)
+		awaitReset(conn)
+	}
+}
+
+// awaitReset returns once the peer has reset or closed a connection from which nothing is read.
+func awaitReset(conn net.Conn) {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	for open := true; err == nil && open; time.Sleep(hostileSampleInterval) {
+		err = raw.Control(func(fd uintptr) {
+			info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			open = infoErr == nil && info.State == tcpEstablished
+		})
+	}
+}
+
+// tcpEstablished is the state of a connection that neither side has closed.
+const tcpEstablished = 1
+
 // playSlowReader sends one request and reads its answer a few bytes at a time.
 func playSlowReader(body string) hostilePlay {
 	return func(conn net.Conn, d hostileDoor) {
--- a/core/connections/table.go
+++ b/core/connections/table.go
@@ -34,7 +34,9 @@
 	sparePart = 16
 	// minSpare is the least number of connections that are kept free.
 	minSpare = 2
-	// searchPause is the time after a search for connections to close that found none until the next one.
+	// closeTime is the time after which a connection that is still open is closed once more, by what it is used for then.
+	closeTime = 500 * time.Millisecond
+	// searchPause is the least time between two searches for connections to close, each of which looks at all of them.
 	searchPause = 20 * time.Millisecond
 )
 
@@ -47,19 +49,18 @@
 	phase Phase
 	since time.Time
 	meter progress.Meter
-	// closing is set once the connection has been chosen to be closed.
-	closing bool
-	// closedIn is the phase in which it was chosen.
+	// closing is set once the connection has been chosen to be closed, in the phase closedIn and at closedAt.
+	closing  bool
 	closedIn Phase
+	closedAt time.Time
 }
 
 // Table holds the open connections of one listener.
 type Table struct {
 	limit int
 
-	mu      sync.Mutex
-	open    map[*Conn]struct{}
-	closing int
+	mu   sync.Mutex
+	open map[*Conn]struct{}
 	// searchAt is when connections to close are searched for again.
 	searchAt time.Time
 }
@@ -67,8 +68,8 @@
 // NewTable returns a table for up to limit connections.
 func NewTable(limit int) *Table { return &Table{limit: max(limit, 1), open: map[*Conn]struct{}{}} }
 
-// Add adds a connection that has just been accepted. close is called, at most once and with the phase of the connection, if it is to be
-// closed for others. Add returns nil if there are too many and none may be closed now; the new one must be closed then.
+// Add adds a connection that has just been accepted. close is called with the phase of the connection if it is to be closed for others,
+// and again if it is still open after closeTime. Add returns nil if there are too many and none may be closed now; the new one must be closed then.
 func (t *Table) Add(now time.Time, close func(Phase)) *Conn {
 	t.mu.Lock()
 	victims := t.chooseVictims(now)
@@ -89,18 +90,21 @@
 
 // chooseVictims returns the connections to close so that some are free, all at once, since each search looks at all connections.
 func (t *Table) chooseVictims(now time.Time) []*Conn {
-	excess := len(t.open) - t.closing + 1 - (t.limit - t.spare())
+	excess := len(t.open) + 1 - (t.limit - t.spare())
 	if excess <= 0 || now.Before(t.searchAt) {
 		return nil
 	}
+	t.searchAt = now.Add(searchPause)
 	var candidates []*Conn
 	for c := range t.open {
-		if c.mayClose(now) {
+		switch {
+		case c.isClosing(now):
+			excess--
+		case c.mayClose(now):
 			candidates = append(candidates, c)
 		}
 	}
-	if len(candidates) == 0 {
-		t.searchAt = now.Add(searchPause)
+	if excess <= 0 {
 		return nil
 	}
 	slices.SortFunc(candidates, func(a, b *Conn) int {
@@ -108,14 +112,16 @@
 	})
 	victims := candidates[:min(len(candidates), max(excess, t.spare()))]
 	for _, v := range victims {
-		v.closing, v.closedIn = true, v.phase
+		v.closing, v.closedIn, v.closedAt = true, v.phase, now
 	}
-	t.closing += len(victims)
 	return victims
 }
 
+// isClosing reports whether the connection is expected to be closed soon.
+func (c *Conn) isClosing(now time.Time) bool { return c.closing && now.Sub(c.closedAt) < closeTime }
+
 func (c *Conn) mayClose(now time.Time) bool {
-	return !c.closing && (c.phase == Idle || c.phase != Serving && now.Sub(c.since) >= minAge)
+	return c.phase == Idle || c.phase != Serving && now.Sub(c.since) >= minAge
 }
 
 // Open returns the number of open connections.
@@ -132,7 +138,6 @@
 	if c.closing && c.closedIn == Idle && phase == Receiving {
 		// The request came before the connection was closed, and is served.
 		c.closing = false
-		c.table.closing--
 	}
 	if c.phase != phase {
 		c.phase, c.since, c.meter = phase, now, progress.Meter{}
@@ -150,11 +155,5 @@
 func (c *Conn) Remove() {
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
-	if _, open := c.table.open[c]; !open {
-		return
-	}
 	delete(c.table.open, c)
-	if c.closing {
-		c.table.closing--
-	}
 }
--- a/core/connections/table_test.go
+++ b/core/connections/table_test.go
@@ -55,6 +55,43 @@
 	c.Assert(closed, qt.DeepEquals, []string{"idle", "receiving"})
 }
 
+// TestClosedConnectionsStay guards against connections that were chosen to be closed and stay open, as one whose peer doesn't read its
+// last answer, and keep others from being chosen; and against ones that are closed while they wait for an answer.
+func TestClosedConnectionsStay(t *testing.T) {
+	c := qt.New(t)
+	table := connections.NewTable(32)
+	var closed []connections.Phase
+	var conns []*connections.Conn
+	for range 32 {
+		conns = append(conns, table.Add(start, func(p connections.Phase) { closed = append(closed, p) }))
+	}
+	now := start.Add(time.Second)
+	for _, conn := range conns {
+		conn.SetPhase(now, connections.Idle)
+	}
+	add := func() *connections.Conn { return table.Add(now, func(connections.Phase) {}) }
+	c.Assert(add(), qt.IsNil)
+	chosen := len(closed)
+	c.Assert(chosen > 0 && chosen < len(conns), qt.IsTrue)
+	now = now.Add(100 * time.Millisecond)
+	c.Assert(add(), qt.IsNil)
+	c.Assert(closed, qt.HasLen, chosen)
+	for _, conn := range conns {
+		conn.SetPhase(now, connections.Sending)
+	}
+	now = now.Add(time.Second)
+	c.Assert(add(), qt.IsNil)
+	c.Assert(len(closed) > chosen, qt.IsTrue)
+	c.Assert(closed[len(closed)-1], qt.Equals, connections.Sending)
+	chosen = len(closed)
+	for _, conn := range conns {
+		conn.SetPhase(now, connections.Serving)
+	}
+	now = now.Add(time.Second)
+	c.Assert(add(), qt.IsNil)
+	c.Assert(closed, qt.HasLen, chosen)
+}
+
 // TestStalledConnectionsAreClosedLast guards against a slow transfer that is ended before one that has stopped.
 func TestStalledConnectionsAreClosedLast(t *testing.T) {
 	c := qt.New(t)
