gateway, cost: names in messages of entry VMs fill no memory

What was seen: a process that got messages between entry VMs, of legal size, with very many names of teams kept an account for each for good, and passed the memory of its machine.

Cause: received tokens made an account, and shared reservations a record, for any team; the board of loads had no bound on reporters and servers.

Why it works: only teams with a budget in the configuration are kept, others can't spend; a process that doesn't know a team answers that it doesn't know the reservation, and its sender waits until it has read the log, as before. Reports of known entry VMs still replace their last ones when the board is full, and new ones are left out until some expire.

--- a/cmd/ibiswinch/hostile_platform_test.go
+++ b/cmd/ibiswinch/hostile_platform_test.go
@@ -10,10 +10,15 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"ibiswinch/core/cost"
+	"ibiswinch/io/peer"
 )
 
 const (
@@ -26,6 +31,9 @@
 	hostileConnections = 450
 	// hostileReaders is the size of a crowd that stops reading.
 	hostileReaders = 400
+	// hostileNames is the number of names in a message, hostileMessages that of the messages of a member.
+	hostileNames    = 20_000
+	hostileMessages = 10
 	// hostileAnswer is the size of an answer of the slow route.
 	hostileAnswer = 2 << 20
 	// hostileHeadTimeout and hostileIdleTimeout are limits of the configuration.
@@ -236,6 +244,54 @@
 	}
 }
 
+// TestHostileNames guards against messages between entry VMs, of legal size, whose very many names of teams, entry VMs and servers are
+// kept after the calls.
+func TestHostileNames(t *testing.T) {
+	for path, message := range map[string]func(member int) proto.Message{
+		"HandTokens": func(member int) proto.Message {
+			m := &peer.HandTokensRequest{}
+			for i := range hostileNames {
+				m.Teams = append(m.Teams, &peer.TeamTokens{Team: hostileName(member, i), Tokens: 1})
+			}
+			return m
+		},
+		"ShareReservations": func(member int) proto.Message {
+			m := &peer.ShareReservationsRequest{}
+			for i := range hostileNames {
+				m.Reservations = append(m.Reservations, &peer.SharedReservation{Key: hostileName(member, i) + "/vm", Value: []byte("{}")})
+			}
+			return m
+		},
+		"ExchangeLoads": func(member int) proto.Message {
+			loads := &peer.ServerLoads{}
+			for i := range cost.MaxLoads {
+				loads.Server = append(loads.Server, uint64(member*cost.MaxLoads+i))
+				for _, column := range []*[]uint64{&loads.Running, &loads.Waiting, &loads.Output, &loads.Sent, &loads.SpeedCount} {
+					*column = append(*column, 16)
+				}
+				loads.SpeedSum = append(loads.SpeedSum, 1)
+			}
+			return &peer.ExchangeLoadsRequest{Sender: hostileName(member, 0), Loads: loads}
+		},
+	} {
+		t.Run(path, func(t *testing.T) {
+			target, f := startHostileTarget(t)
+			var sent atomic.Int64
+			play := func(conn net.Conn, d hostileDoor) {
+				for range hostileMessages {
+					body, err := proto.Marshal(message(int(sent.Add(1))))
+					target.c.Check(err, qt.IsNil)
+					_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", d.start("POST"), len(body), body)
+				}
+			}
+			doors := []hostileDoor{{address: f.peer, target: "/twirp/ibiswinch.peer.Pool/" + path, host: "h", headers: "Content-Type: application/protobuf\r\n"}}
+			target.withstand(t, hostileCrowd{size: hostileCrowdSize, doors: doors, play: play})
+		})
+	}
+}
+
+func hostileName(member, i int) string { return fmt.Sprintf("%x-%x", member, i) }
+
 // TestHostileLegalRequests guards against limits that refuse a single request inside those of the configuration: the largest body, in
 // one piece or in chunks with pauses, and the largest head, of as many fields as it has room for.
 func TestHostileLegalRequests(t *testing.T) {
--- a/core/cost/board.go
+++ b/core/cost/board.go
@@ -49,6 +49,10 @@
 const (
 	// MaxLoads bounds the servers in one report. Those with the least work are left out.
 	MaxLoads = 256
+	// maxReporters bounds the entry VMs of a failure domain, and the domains, whose reports are kept; further ones are left out until
+	// one expires. maxServers bounds the servers with a sum.
+	maxReporters = 1024
+	maxServers   = 16384
 	// minSpeedWeight is the weight below which what was seen of a server is forgotten.
 	minSpeedWeight = 0.2
 )
@@ -85,6 +89,10 @@
 // SetMember replaces the report of an entry VM, which holds until the given time. Its new observations of speeds are added to
 // those of the others.
 func (b *Board) SetMember(now time.Time, name string, loads []Load, until time.Time) {
+	if isFull(b.members, name) {
+		return
+	}
+	loads = b.withSums(loads)
 	b.addMember(b.members[name].loads, -1)
 	b.addMember(loads, 1)
 	for _, l := range loads {
@@ -97,11 +105,36 @@
 
 // SetDomain replaces the sums of another failure domain, which hold until the given time.
 func (b *Board) SetDomain(name string, loads []Load, until time.Time) {
+	if isFull(b.domains, name) {
+		return
+	}
+	loads = b.withSums(loads)
 	b.addDomain(b.domains[name].loads, -1)
 	b.addDomain(loads, 1)
 	b.domains[name] = boardReport{loads: loads, until: until}
 }
 
+// isFull reports whether the report of a further reporter isn't kept.
+func isFull(reports map[string]boardReport, name string) bool {
+	_, known := reports[name]
+	return !known && len(reports) >= maxReporters
+}
+
+// withSums returns the loads of the servers that have a sum or get one.
+func (b *Board) withSums(loads []Load) []Load {
+	if len(b.totals)+len(loads) <= maxServers {
+		return loads
+	}
+	kept := make([]Load, 0, len(loads))
+	for _, l := range loads {
+		if _, found := b.index[l.Server]; found || len(b.totals) < maxServers {
+			b.total(l.Server)
+			kept = append(kept, l)
+		}
+	}
+	return kept
+}
+
 // Domain returns the sums of this failure domain for those with the most work.
 func (b *Board) Domain(now time.Time) []Load {
 	b.expire(now)
--- a/core/cost/cost_test.go
+++ b/core/cost/cost_test.go
@@ -1,7 +1,9 @@
 package cost_test
 
 import (
+	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -150,3 +152,31 @@
 		board.Fleet(start, name(i%57))
 	}
 }
+
+// TestReportsFillMemory guards against reports about very many servers, and of very many entry VMs and failure domains, that are kept
+// without a bound, and that leave no room for those that are known.
+func TestReportsFillMemory(t *testing.T) {
+	c := qt.New(t)
+	b := cost.NewBoard()
+	until := start.Add(time.Minute)
+	b.SetMember(start, "vm-1", []cost.Load{load(1, 100)}, until)
+	for i := range uint64(5000) {
+		loads := make([]cost.Load, cost.MaxLoads)
+		for j := range loads {
+			loads[j] = load(2+i*cost.MaxLoads+uint64(j), 1)
+		}
+		b.SetMember(start, fmt.Sprint("many-", i), loads, until)
+		b.SetDomain(fmt.Sprint("many-", i), loads, until)
+	}
+	members, domains, servers := b.Size()
+	c.Assert(members, qt.Equals, 1024)
+	c.Assert(domains, qt.Equals, 1024)
+	c.Assert(servers, qt.Equals, 16384)
+	b.SetMember(start, "vm-1", []cost.Load{load(1, 1<<40)}, until)
+	c.Assert(slices.ContainsFunc(b.Fleet(start, ""), func(l cost.Load) bool { return l.Server == 1 && l.Waiting == 1<<40 }), qt.IsTrue)
+	// Once they have expired nothing is left of them.
+	b.Domain(until)
+	b.Domain(until)
+	members, domains, servers = b.Size()
+	c.Assert([]int{members, domains, servers}, qt.DeepEquals, []int{0, 0, 0})
+}
--- a/core/escrow/record.go
+++ b/core/escrow/record.go
@@ -108,6 +108,15 @@
 	return true
 }
 
+// maxLearned is the number of holders of a team from which other entry VMs can add none. More come from the log only.
+const maxLearned = 4096
+
+// IsFull reports whether a record of a further holder may only come from the log.
+func (b *Reservations) IsFull(holder string) bool {
+	_, known := b.records[holder]
+	return !known && len(b.records) >= maxLearned
+}
+
 // Holders returns the holders with records, in no particular order.
 func (b *Reservations) Holders() iter.Seq[string] { return maps.Keys(b.records) }
 
--- a/gateway/give.go
+++ b/gateway/give.go
@@ -177,8 +177,9 @@
 		if n <= 0 {
 			continue
 		}
+		// Nothing is kept for a team without a budget: callers can't use its tokens.
 		lp := b.partitionOf(team)
-		if lp == nil {
+		if lp == nil || lp.limit(team) == 0 {
 			continue
 		}
 		lp.mu.Lock()
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -226,9 +226,11 @@
 		lp.budgets.cfg.Events.Event(event.RecordSkipped, apexlog.Fields{"key": r.Key})
 		return false
 	}
+	// Teams that aren't in the configuration have no budget yet, or none any more.
+	hasBudget := lp.limit(team) > 0
 	lp.mu.Lock()
 	defer lp.mu.Unlock()
-	if !lp.ready {
+	if !hasBudget || !lp.ready || lp.recordsOf(team).IsFull(holder) {
 		return false
 	}
 	outdated := record.Era < lp.rewrite.Era()
