tcp: a wide receive buffer stays wide while its connection is open

What callers saw: since, beside 400 clients that ask for answers of 2 MB, ordinary requests were refused for seconds.

Cause, traced by the stacks of a process: 79 calls waited for bytes of servers. A buffer was narrowed after each long transfer, below the window that its peer had been promised; the kernel dropped what came on the kept connection, which then stalled for a retransmission time-out.

Why it works: the buffer stays wide, and its memory counted, until its connection is closed; what is left of the memory for wide buffers is for others.

--- a/cmd/ibiswinch/listeners.go
+++ b/cmd/ibiswinch/listeners.go
@@ -97,9 +97,10 @@
 
 func (p *platformProcess) newCallerServer() *http.Server {
 	p.callers.Dropped, p.callers.HeaderTimeout, p.callers.IdleTimeout = p.logDropped, p.headerTimeout, p.idleTimeout
+	p.callers.WideBuffers = p.wideBuffers
 	p.callers.Limits = inbound.NewLimits(p.sockets.Callers, p.memory)
 	return &http.Server{
-		Handler:           &platform.CallerHandler{Gateway: p.gateway, Now: time.Now, ShouldCloseConnection: p.gateway.ShouldCloseConnection, Incoming: p.incoming, WideBuffers: p.wideBuffers},
+		Handler:           &platform.CallerHandler{Gateway: p.gateway, Now: time.Now, ShouldCloseConnection: p.gateway.ShouldCloseConnection, Incoming: p.incoming},
 		ConnContext:       platform.ConnContext,
 		ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxCallerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
 		ConnState: p.callers.SetState,
--- a/io/inbound/server.go
+++ b/io/inbound/server.go
@@ -42,14 +42,15 @@
 // Server is an HTTP server within limits.
 type Server struct {
 	*http.Server
-	limits *Limits
+	limits      *Limits
+	wideBuffers *tcp.WideBuffers
 }
 
 // NewServer returns a server that isn't serving yet.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{limits: NewLimits(cfg.MaxConnections, cfg.Memory)}
+	s := &Server{limits: NewLimits(cfg.MaxConnections, cfg.Memory), wideBuffers: cfg.WideBuffers}
 	s.Server = &http.Server{
-		Handler: &headCounter{next: cfg.Handler, memory: cfg.Memory, buffers: cfg.WideBuffers}, MaxHeaderBytes: cfg.MaxHeadBytes, ConnState: setState,
+		Handler: &headCounter{next: cfg.Handler, memory: cfg.Memory}, MaxHeaderBytes: cfg.MaxHeadBytes, ConnState: setState,
 		ReadHeaderTimeout: cfg.HeaderTimeout, ReadTimeout: cfg.RequestTimeout, WriteTimeout: cfg.WriteTimeout, IdleTimeout: cfg.IdleTimeout,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			if tracked, ok := c.(*conn); ok {
@@ -66,7 +67,7 @@
 
 // Serve serves the connections of l within the limits.
 func (s *Server) Serve(l net.Listener) error {
-	return s.Server.Serve(&listener{Listener: l, limits: s.limits})
+	return s.Server.Serve(&listener{Listener: l, limits: s.limits, wideBuffers: s.wideBuffers})
 }
 
 // connKey is the key of a connection in the context of its requests.
@@ -74,9 +75,8 @@
 
 // headCounter counts the head of a request until its answer is written, and refuses a request whose head may not be held.
 type headCounter struct {
-	next    http.Handler
-	memory  *memory.Limiter
-	buffers *tcp.WideBuffers
+	next   http.Handler
+	memory *memory.Limiter
 }
 
 // ServeHTTP implements http.Handler.
@@ -92,11 +92,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	body := &requestBody{ReadCloser: r.Body}
+	body := &requestBody{Closer: r.Body, transfer: r.Body}
 	if tracked != nil {
 		body.tracker = tracked.tracker
-		body.transfer = h.buffers.NewTransfer(r.Body, tracked.socket())
-		defer body.transfer.End()
+		body.transfer = tracked.receiver.NewTransfer(r.Body)
 	}
 	if r.ContentLength == 0 {
 		body.end()
@@ -111,21 +110,15 @@
 
 // requestBody records that a body has been read to its end.
 type requestBody struct {
-	io.ReadCloser
+	io.Closer
+	transfer io.Reader
 	tracker  *Tracker
-	transfer *tcp.Transfer
 	isRead   bool
 }
 
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
-	var n int
-	var err error
-	if b.transfer != nil {
-		n, err = b.transfer.Read(p)
-	} else {
-		n, err = b.ReadCloser.Read(p)
-	}
+	n, err := b.transfer.Read(p)
 	if err == io.EOF {
 		b.end()
 	}
@@ -138,9 +131,6 @@
 	}
 	b.isRead = true
 	b.tracker.EndRequest()
-	if b.transfer != nil {
-		b.transfer.End()
-	}
 }
 
 func setState(c net.Conn, state http.ConnState) {
@@ -160,7 +150,8 @@
 
 type listener struct {
 	net.Listener
-	limits *Limits
+	limits      *Limits
+	wideBuffers *tcp.WideBuffers
 }
 
 // Accept implements net.Listener.
@@ -170,7 +161,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &conn{Conn: accepted}
+		c := &conn{Conn: accepted, receiver: l.wideBuffers.NewReceiver(socketOf(accepted))}
 		if c.tracker = l.limits.Admit(c.end); c.tracker != nil {
 			return c, nil
 		}
@@ -181,20 +172,20 @@
 // conn is a connection that is closed by its server when its reads or writes fail.
 type conn struct {
 	net.Conn
-	tracker *Tracker
+	tracker  *Tracker
+	receiver *tcp.Receiver
 
 	mu sync.Mutex
 	// endedReads and endedWrites are set once reads or writes are to fail at once.
 	endedReads, endedWrites bool
 }
 
-// socket returns the socket below the connection, nil if there is none.
-func (c *conn) socket() syscall.Conn {
-	below := c.Conn
-	if secure, ok := below.(*tls.Conn); ok {
-		below = secure.NetConn()
+// socketOf returns the socket below a connection, nil if there is none.
+func socketOf(c net.Conn) syscall.Conn {
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
 	}
-	socket, _ := below.(syscall.Conn)
+	socket, _ := c.(syscall.Conn)
 	return socket
 }
 
@@ -238,6 +229,7 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
+	c.receiver.Close()
 	c.tracker.Close()
 	return err
 }
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"sync"
 	"syscall"
 	"time"
 
@@ -36,7 +37,8 @@
 	})
 }
 
-// WideBuffers gives long transfers wide receive buffers, as far as there is memory for them. A nil WideBuffers gives none.
+// WideBuffers gives connections with long transfers wide receive buffers, as far as there is memory for them. A nil WideBuffers gives
+// none.
 type WideBuffers struct {
 	sizes  sockets.Buffers
 	memory *memory.Limiter
@@ -50,58 +52,72 @@
 	return &WideBuffers{sizes: b, memory: memory.NewLimiter(b.WideTotal)}
 }
 
-// NewTransfer returns the transfer that r reads from connection c.
-func (b *WideBuffers) NewTransfer(r io.Reader, c syscall.Conn) *Transfer {
-	return &Transfer{Reader: r, buffers: b, conn: c}
-}
+// NewReceiver returns the receiver of a connection.
+func (b *WideBuffers) NewReceiver(c syscall.Conn) *Receiver { return &Receiver{buffers: b, conn: c} }
 
-// Transfer reads from a connection. Its receive buffer is wide once the transfer is long, until End.
-type Transfer struct {
-	io.Reader
+// Receiver widens the receive buffer of a connection for its first long transfer. The buffer stays wide until the connection is closed:
+// a peer was promised the window, and the kernel would drop what it sends beyond a smaller one. A nil Receiver widens nothing.
+type Receiver struct {
 	buffers *WideBuffers
 	conn    syscall.Conn
-	// received is the number of bytes so far. decided is set once the buffer has been widened, or there was no memory for it.
-	received        int
-	decided, isWide bool
+
+	mu             sync.Mutex
+	isWide, closed bool
 }
 
-// Read implements io.Reader.
-func (t *Transfer) Read(p []byte) (int, error) {
-	n, err := t.Reader.Read(p)
-	t.received += n
-	if t.received >= longTransferBytes && !t.decided {
-		t.decided = true
-		t.widen()
+// NewTransfer returns a reader of a transfer on the connection that comes from r.
+func (c *Receiver) NewTransfer(r io.Reader) io.Reader {
+	if c == nil || c.buffers == nil {
+		return r
 	}
-	return n, err
+	return &transfer{Reader: r, receiver: c}
 }
 
-func (t *Transfer) widen() {
-	if t.buffers == nil || t.conn == nil || !t.buffers.memory.Admit(t.buffers.sizes.WideCost) {
+// widen sets the receive buffer, and the window with which the kernel advertises it, which otherwise stays at its first size.
+func (c *Receiver) widen() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil || c.isWide || c.closed || !c.buffers.memory.Admit(c.buffers.sizes.WideCost) {
+		return
+	}
+	c.isWide = true
+	raw, err := c.conn.SyscallConn()
+	if err != nil {
 		return
 	}
-	t.isWide = true
-	t.setReceiveBuffer(t.buffers.sizes.WideBytes)
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, c.buffers.sizes.WideBytes)
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, c.buffers.sizes.WideBytes)
+	})
 }
 
-// End ends the transfer. Further calls do nothing.
-func (t *Transfer) End() {
-	if !t.isWide {
+// Close gives the memory back after the connection was closed. Further calls do nothing.
+func (c *Receiver) Close() {
+	if c == nil {
 		return
 	}
-	t.isWide = false
-	t.setReceiveBuffer(t.buffers.sizes.ReceiveBytes)
-	t.buffers.memory.Release(t.buffers.sizes.WideCost)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isWide && !c.closed {
+		c.buffers.memory.Release(c.buffers.sizes.WideCost)
+	}
+	c.closed = true
 }
 
-// setReceiveBuffer sets the receive buffer, and the window with which the kernel advertises it, which otherwise stays at its first size.
-func (t *Transfer) setReceiveBuffer(bytes int) {
-	raw, err := t.conn.SyscallConn()
-	if err != nil {
-		return
+// transfer counts the bytes of one transfer.
+type transfer struct {
+	io.Reader
+	receiver *Receiver
+	received int
+}
+
+// Read implements io.Reader.
+func (t *transfer) Read(p []byte) (int, error) {
+	n, err := t.Reader.Read(p)
+	before := t.received
+	t.received += n
+	if before < longTransferBytes && t.received >= longTransferBytes {
+		t.receiver.widen()
 	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes)
-	})
+	return n, err
 }
