overload: the calls of one team leave room for those of others

What callers saw: beside 400 requests of one team that wait for a silent server, no request of another team was served, for as long as the route's time-out; each connection was reset.

Cause: a call that waits for its answer is never closed, so one key could hold all connections of callers.

Why it works: once three quarters of the connections have open calls, a team that has its equal share gets 503, not run, and its connection is closed.

--- a/cmd/ibiswinch/fleet_test.go
+++ b/cmd/ibiswinch/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -39,10 +40,10 @@
 	engineAddresses []string
 	serviceAddress  string
 	vms             []*vmProcess
-	// peerTLSLines and operatorTLSLines are added to the sections [peers] and [operator] of the settings.
-	peerTLSLines, operatorTLSLines string
-	// memorySection is added to the settings, limitsSection to the rules. Zero values of the others mean the defaults.
-	memorySection, limitsSection                 string
+	// callerTLSLines, peerTLSLines and operatorTLSLines are added to the sections [callers], [peers] and [operator] of the settings.
+	callerTLSLines, peerTLSLines, operatorTLSLines string
+	// memorySection and timingsSection are added to the settings, limitsSection to the rules. Zero values of the others mean the defaults.
+	memorySection, limitsSection, timingsSection string
 	topUpTokens, maxOutputTokens, capacityTokens int
 }
 
@@ -144,7 +145,7 @@
 slot = %d
 [callers]
 listen = %s
-[peers]
+%s[peers]
 listen = %s
 token = demo-peer-token-0001
 %s[operator]
@@ -153,8 +154,8 @@
 %s[platform]
 address = %s
 snapshotEntries = %d
-%s`, name, domain, slot, vm.callerAddress, peerAddress, f.peerTLSLines, vm.operatorAddress, operatorToken, f.operatorTLSLines, f.platformAddress,
-		cmp.Or(f.options.snapshotEntries, 5000), f.memorySection)
+%s`, name, domain, slot, vm.callerAddress, f.callerTLSLines, peerAddress, f.peerTLSLines, vm.operatorAddress, operatorToken, f.operatorTLSLines, f.platformAddress,
+		cmp.Or(f.options.snapshotEntries, 5000), f.memorySection+f.timingsSection)
 	f.c.Assert(os.WriteFile(vm.settingsFile, []byte(text), 0o600), qt.IsNil)
 	f.vms = append(f.vms, vm)
 	f.listVM(name, peerAddress, domain)
@@ -229,9 +230,16 @@
 	}
 }
 
+// insecureClient takes any certificate.
+var insecureClient = &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+
 func (f *fleet) awaitReady(vm *vmProcess) {
 	f.await("ready", func() bool {
-		resp, err := http.Get("http://" + vm.callerAddress + "/readyz")
+		scheme := "http://"
+		if f.callerTLSLines != "" {
+			scheme = "https://"
+		}
+		resp, err := insecureClient.Get(scheme + vm.callerAddress + "/readyz")
 		if err != nil {
 			return false
 		}
--- a/cmd/ibiswinch/hostile_platform_test.go
+++ b/cmd/ibiswinch/hostile_platform_test.go
@@ -43,26 +43,14 @@
 
 // publishHostile publishes routes to a server that answers at once, with large answers on one of the routes, and the limits.
 func (f *platformFixture) publishHostile() {
-	route := func(name string) map[string]any {
-		return map[string]any{
-			"name": name, "host": "a.example", "path_prefix": "/" + name + "/", "kind": "unsafe", "timeout_ms": 20000,
-			"target_latency_ms": 500, "service": name, "attempts": 1,
-		}
-	}
-	config, err := json.Marshal(map[string]any{
-		"version": 4, "routes": []any{route("sound"), route("large")},
-		"tenants":  []map[string]any{{"name": "team-1", "api_keys": []string{"key-1"}, "prepaid": 1_000_000_000}},
-		"services": []map[string]any{{"name": "sound"}, {"name": "large"}},
-		"limits": map[string]any{
-			"header_bytes": 16 << 10, "body_bytes": hostileBody, "header_timeout_ms": hostileHeadTimeout.Milliseconds(),
-			"idle_timeout_ms": hostileIdleTimeout.Milliseconds(),
-		},
-	})
+	config, err := json.Marshal(f.hostileConfig(4))
 	f.c.Assert(err, qt.IsNil)
 	f.store.Append("keyed.op", "config", config)
 	const head = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Seal: seal\r\nContent-Length: "
+	const stream = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Seal: seal\r\nContent-Type: text/event-stream\r\n\r\n"
 	for service, address := range map[string]string{
 		"sound": f.startRecording(), "large": f.startScripted(fmt.Sprintf("%s%d\r\n\r\n", head, hostileAnswer), "aaaa", hostileAnswer),
+		"silent": f.startScripted("", "", 0), "stream": f.startScripted(stream, "id: 1KEY\ndata: "+repeatTo(50, "a")+"\n\n", 8*hostileAnswer),
 	} {
 		server, err := json.Marshal(map[string]any{
 			"service": service, "address": address, "zone": "z", "version": "v1", "slots": 10_000, "state": "ready", "sequence": 1, "born": 1,
@@ -72,6 +60,27 @@
 	}
 }
 
+// hostileConfig returns the configuration with the routes and the limits.
+func (f *platformFixture) hostileConfig(version int) map[string]any {
+	route := func(name, kind string) map[string]any {
+		return map[string]any{
+			"name": name, "host": "a.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 20000,
+			"target_latency_ms": 500, "service": name, "attempts": 1,
+		}
+	}
+	return map[string]any{
+		"version": version, "routes": []any{route("sound", "unsafe"), route("large", "unsafe"), route("silent", "unsafe"), route("stream", "streaming")},
+		"tenants": []map[string]any{
+			{"name": "team-1", "api_keys": []string{"key-1"}, "prepaid": 1_000_000_000}, {"name": "team-2", "api_keys": []string{"key-2"}, "prepaid": 1_000_000_000},
+		},
+		"services": []map[string]any{{"name": "sound"}, {"name": "large"}, {"name": "silent"}, {"name": "stream"}},
+		"limits": map[string]any{
+			"header_bytes": 16 << 10, "body_bytes": hostileBody, "header_timeout_ms": hostileHeadTimeout.Milliseconds(),
+			"idle_timeout_ms": hostileIdleTimeout.Milliseconds(),
+		},
+	}
+}
+
 // startRecording starts a server that answers at once and records which requests it ran.
 func (f *platformFixture) startRecording() string {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -91,10 +100,10 @@
 	f.publishHostile()
 	f.changeSettings("link_mbps = 1000\n", "link_mbps = 1000000\n")
 	f.changeSettings("memory_mb = 284\n", fmt.Sprintf("memory_mb = %d\nfile_descriptors = %d\n", hostileMemoryMB, hostileDescriptors))
-	p := f.startProcess(hostileBinary(f.c, "ibiswinch"), false)
+	f.target = f.startProcess(hostileBinary(f.c, "ibiswinch"), false)
 	f.awaitSound()
 	return hostileTarget{
-		c: f.c, pid: p.cmd.Process.Pid, maxBytes: hostileMemoryMB << 20, maxSockets: hostileDescriptors - hostileFiles,
+		c: f.c, pid: f.target.cmd.Process.Pid, maxBytes: hostileMemoryMB << 20, maxSockets: hostileDescriptors - hostileFiles,
 		ask: func() (string, error) { return f.sendBody("/sound/1", "ordinary", 2) },
 	}, f
 }
--- a/cmd/ibiswinch/hostile_test.go
+++ b/cmd/ibiswinch/hostile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -81,6 +82,8 @@
 	target, host string
 	// headers are whole lines.
 	headers string
+	// isSecure is set if the door speaks TLS.
+	isSecure bool
 	// maxHead is a size of a head that the door must survive.
 	maxHead int
 }
@@ -90,6 +93,17 @@
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: hostile\r\n%s", method, d.target, d.host, d.headers)
 }
 
+// hostileTLS takes any certificate.
+var hostileTLS = &tls.Config{InsecureSkipVerify: true}
+
+// secure returns the connection as the door's play uses it. A handshake begins with its first write.
+func (d hostileDoor) secure(conn net.Conn) net.Conn {
+	if d.isSecure {
+		return tls.Client(conn, hostileTLS)
+	}
+	return conn
+}
+
 // hostilePlay is what one member of a crowd does on its connection. It returns when all is sent, or the connection has ended.
 type hostilePlay func(conn net.Conn, d hostileDoor)
 
@@ -113,7 +127,7 @@
 			}
 			conns[i] = conn
 			_ = conn.SetDeadline(time.Now().Add(hostileSendTimeout))
-			crowd.play(conn, d)
+			crowd.play(d.secure(conn), d)
 		})
 	}
 	wg.Wait()
@@ -149,7 +163,7 @@
 			played := make(chan struct{})
 			go func() {
 				defer close(played)
-				l.play(conn, d)
+				l.play(d.secure(conn), d)
 			}()
 			select {
 			case <-played:
@@ -291,6 +305,12 @@
 	}
 }
 
+// playHalfHandshake sends the start of a TLS handshake.
+func playHalfHandshake(conn net.Conn, _ hostileDoor) {
+	_, _ = conn.Write([]byte{22, 3, 1, 2, 0, 1, 0})
+	awaitReset(conn)
+}
+
 // playBody sends whole requests one after the other and reads nothing.
 func playBody(size int) hostilePlay {
 	text := repeatTo(size, "a")
@@ -416,6 +436,9 @@
 
 // awaitReset returns once the peer has reset or closed a connection from which nothing is read.
 func awaitReset(conn net.Conn) {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
 	raw, err := conn.(*net.TCPConn).SyscallConn()
 	for open := true; err == nil && open; time.Sleep(hostileSampleInterval) {
 		err = raw.Control(func(fd uintptr) {
--- a/cmd/ibiswinch/hostile_usage_test.go
+++ b/cmd/ibiswinch/hostile_usage_test.go
@@ -47,6 +47,12 @@
 	return inodes
 }
 
+// hasEnded reports whether a process runs no more.
+func hasEnded(pid int) bool {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	return err != nil || strings.Contains(string(status), "State:\tZ")
+}
+
 // residentBytes returns the resident memory of a process, 0 if it has ended.
 func residentBytes(pid int) int {
 	statm, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -143,7 +143,7 @@
 		Retries: retry.WindowBudgetConfig{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow}, ServerHeartbeat: s.ServerHeartbeat,
 		ColdOvershoot: s.ColdOvershoot, ColdSlack: s.ColdSlack, Regions: s.Regions,
 		LedgerPartitions: max(min(int(s.StoreReadsPerSecond/readsPerSecondPerPartition), s.MaxPartitions), 1), Seed: uint64(time.Now().UnixNano()),
-		LogNearLimit: p.logOutput.NearLimit, Limits: overload.Limits{LinkBytesPerSecond: s.LinkBytesPerSecond, Cores: s.Cores}, Usage: p.sampleUsage, BytesSent: p.traffic.SentBytes,
+		LogNearLimit: p.logOutput.NearLimit, MaxOpenCalls: p.sockets.Callers, CloseStalled: p.callers.CloseStalled, Limits: overload.Limits{LinkBytesPerSecond: s.LinkBytesPerSecond, Cores: s.Cores}, Usage: p.sampleUsage, BytesSent: p.traffic.SentBytes,
 	})
 	p.events.Event(event.ProcessStarted, apexlog.Fields{"incarnation": incarnation, "zone": s.Zone})
 	return p, nil
--- a/cmd/ibiswinch/platform_test.go
+++ b/cmd/ibiswinch/platform_test.go
@@ -37,6 +37,8 @@
 	// hang is closed to let the backend server answer; began gets the id of each request that reaches it.
 	hang  chan struct{}
 	began chan string
+	// target is the entry VM of a test of crowds, a process of its own.
+	target *stoppedProcess
 	// ran has the ids of the requests that the recording server ran.
 	ran sync.Map
 }
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -198,6 +198,9 @@
 	return names
 }
 
+// TeamCount returns the number of teams.
+func (c *Catalog) TeamCount() int { return len(c.teams) }
+
 // Service returns a service by its name. For an unknown name it returns a Service without limits.
 func (c *Catalog) Service(name string) Service {
 	if s := c.services[name]; s != nil {
--- a/core/connections/table.go
+++ b/core/connections/table.go
@@ -61,8 +61,8 @@
 
 	mu   sync.Mutex
 	open map[*Conn]struct{}
-	// searchAt is when connections to close are searched for again.
-	searchAt time.Time
+	// searchAt and searchStalledAt are when connections to close, or stalled ones, are searched for again.
+	searchAt, searchStalledAt time.Time
 }
 
 // NewTable returns a table for up to limit connections.
@@ -107,16 +107,46 @@
 	if excess <= 0 {
 		return nil
 	}
+	return markFirst(now, candidates, max(excess, t.spare()))
+}
+
+// markFirst marks up to n of the candidates, those that are closed first, and returns them.
+func markFirst(now time.Time, candidates []*Conn, n int) []*Conn {
 	slices.SortFunc(candidates, func(a, b *Conn) int {
 		return cmp.Or(cmp.Compare(a.phase, b.phase), cmp.Compare(a.meter.Recent(now), b.meter.Recent(now)), a.since.Compare(b.since))
 	})
-	victims := candidates[:min(len(candidates), max(excess, t.spare()))]
+	victims := candidates[:min(len(candidates), n)]
 	for _, v := range victims {
 		v.closing, v.closedIn, v.closedAt = true, v.phase, now
 	}
 	return victims
 }
 
+// CloseStalled closes some connections whose answers their peers don't read, as many as are kept free for new ones. It is for requests
+// that are refused because others are open.
+func (t *Table) CloseStalled(now time.Time) {
+	t.mu.Lock()
+	victims := t.chooseStalled(now)
+	t.mu.Unlock()
+	for _, v := range victims {
+		v.close(v.closedIn)
+	}
+}
+
+func (t *Table) chooseStalled(now time.Time) []*Conn {
+	if now.Before(t.searchStalledAt) {
+		return nil
+	}
+	t.searchStalledAt = now.Add(searchPause)
+	var candidates []*Conn
+	for c := range t.open {
+		if c.phase == Sending && c.mayClose(now) && !c.isClosing(now) {
+			candidates = append(candidates, c)
+		}
+	}
+	return markFirst(now, candidates, t.spare())
+}
+
 // isClosing reports whether the connection is expected to be closed soon.
 func (c *Conn) isClosing(now time.Time) bool { return c.closing && now.Sub(c.closedAt) < closeTime }
 
--- a/core/connections/table_test.go
+++ b/core/connections/table_test.go
@@ -111,3 +111,25 @@
 	c.Assert(closed["A"], qt.IsTrue)
 	c.Assert(len(closed) < 5, qt.IsTrue)
 }
+
+// TestStalledAnswersKeepOthersOut guards against answers that nobody reads and that take the room of other requests though connections
+// are left, and against the end of one that is being read or is waited for.
+func TestStalledAnswersKeepOthersOut(t *testing.T) {
+	c := qt.New(t)
+	table := connections.NewTable(64)
+	var closed []string
+	add := func(name string, since time.Time, phase connections.Phase) {
+		conn := table.Add(start, func(connections.Phase) { closed = append(closed, name) })
+		conn.SetPhase(since, phase)
+	}
+	now := start.Add(time.Minute)
+	add("idle", start, connections.Idle)
+	add("receiving", start, connections.Receiving)
+	add("serving", start, connections.Serving)
+	add("read", now, connections.Sending)
+	add("stalled", now.Add(-time.Second), connections.Sending)
+	add("stalled for long", start, connections.Sending)
+	table.CloseStalled(now)
+	table.CloseStalled(now.Add(100 * time.Millisecond))
+	c.Assert(closed, qt.DeepEquals, []string{"stalled for long", "stalled"})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -180,7 +180,12 @@
 	LedgerPartitions int
 	// Limits are the resources of this entry VM. Usage samples their use; without it overload isn't detected.
 	Limits overload.Limits
-	Usage  func() (overload.Sample, error)
+	// MaxOpenCalls is the number of calls that may be open, 0 for no limit. Near it each team gets its share.
+	MaxOpenCalls int
+	// CloseStalled closes connections of callers that don't read their answers. It is called when a call is refused because too many
+	// are open, and may be nil.
+	CloseStalled func()
+	Usage        func() (overload.Sample, error)
 	// BytesSent returns the number of bytes sent so far; without it calls aren't refused because of a full link.
 	BytesSent func() int64
 	// Seed is the seed of the random choices.
--- a/gateway/load.go
+++ b/gateway/load.go
@@ -36,13 +36,14 @@
 	monitor   *overload.Monitor
 	queue     overload.LinkQueue
 	admission *overload.Admission
+	open      *overload.OpenCalls
 	// left is set while this entry VM is out of rotation for overload.
 	left bool
 }
 
 func newLoadController(cfg Config, fleet *fleetController) *loadController {
 	return &loadController{
-		cfg: cfg, fleet: fleet, monitor: overload.NewMonitor(cfg.Limits), admission: overload.NewAdmission(),
+		cfg: cfg, fleet: fleet, monitor: overload.NewMonitor(cfg.Limits), admission: overload.NewAdmission(), open: overload.NewOpenCalls(cfg.MaxOpenCalls),
 		queue: overload.LinkQueue{LinkBytesPerSecond: cfg.Limits.LinkBytesPerSecond},
 	}
 }
@@ -194,6 +195,31 @@
 	return refused
 }
 
+// beginCall counts an open call, and refuses one of a team that has its share of them.
+func (l *loadController) beginCall(_ context.Context, r *request) *refusal.Error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.isOpen = l.open.Begin(r.teamName(), r.catalog.TeamCount() > 1); r.isOpen {
+		return nil
+	}
+	if l.cfg.CloseStalled != nil {
+		l.cfg.CloseStalled()
+	}
+	refused := refusal.New(refusal.Overloaded, "this entry VM has many open calls, and the team has its share of them").WithRetryAt(l.cfg.Now().Add(overloadRetryDelay))
+	refused.CloseConnection = true
+	return refused
+}
+
+// endCall ends a call that beginCall may have counted.
+func (l *loadController) endCall(r *request) {
+	if !r.isOpen {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open.End(r.teamName())
+}
+
 // check returns the refusal of a call that took arrival to be received, or nil if it should be served.
 func (l *loadController) check(arrival time.Duration) *refusal.Error {
 	if l.cfg.BytesSent == nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -36,6 +36,8 @@
 	deadline time.Time
 	// bodyBytes is the announced size of a body that hasn't been received.
 	bodyBytes int64
+	// isOpen is set while the call counts as open.
+	isOpen bool
 	// heldTokens are held in the team's budget until the call ends.
 	heldTokens int64
 }
@@ -53,7 +55,8 @@
 		// CheckHead has counted the other calls.
 		filters = append(filters, g.checkShare)
 	}
-	if refused := g.filter(ctx, r, append(filters, g.reserveTokens, g.checkLink)); refused != nil {
+	defer g.load.endCall(r)
+	if refused := g.filter(ctx, r, append(filters, g.load.beginCall, g.reserveTokens, g.checkLink)); refused != nil {
 		g.refuse(r, refused)
 		g.budgets.settleCall(r.team, r.heldTokens, 0)
 		return
--- a/io/inbound/limits.go
+++ b/io/inbound/limits.go
@@ -53,6 +53,9 @@
 	return &Tracker{conn: conn, memory: l.memory}
 }
 
+// CloseStalled closes some connections whose peers don't read their answers.
+func (l *Limits) CloseStalled() { l.table.CloseStalled(time.Now()) }
+
 // Tracker follows what one connection is used for. A nil Tracker follows nothing.
 type Tracker struct {
 	conn   *connections.Conn
--- a/io/inbound/server.go
+++ b/io/inbound/server.go
@@ -70,6 +70,9 @@
 	return s.Server.Serve(&listener{Listener: l, limits: s.limits, wideBuffers: s.wideBuffers})
 }
 
+// CloseStalled closes some connections whose peers don't read their answers.
+func (s *Server) CloseStalled() { s.limits.CloseStalled() }
+
 // connKey is the key of a connection in the context of its requests.
 type connKey struct{}
 
