entry: streams that nobody reads, and the calls of one team, keep no others out

What callers saw, with ibiswinch serve: beside streams that their callers don't read, all requests got 503 memory_full, for up to 15 minutes. Beside calls of one team to a silent service, other teams got resets and 503.

Cause: a suspended stream counts as an open request for as long as its caller is connected, and nothing ended one for others. Calls to plain services weren't bounded by maxStreams and took all connections.

Why it works: all open requests count, and near maxStreams a team gets its equal share, by the same rule as with ibiswinch platform. A request that is refused for the open ones has the connections closed whose answers aren't read, the longest stalled first.

--- a/cmd/ibiswinch/hostile_serve_test.go
+++ b/cmd/ibiswinch/hostile_serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -27,6 +28,17 @@
 	// serveConnections is the size of a crowd that fills the descriptors, serveCrowdSize that of one that fills the memory.
 	serveConnections = 1300
 	serveCrowdSize   = 150
+	// serveOutputTokens is the longest output, more than all buffers on its way to a caller hold.
+	serveOutputTokens = 20_000
+	// hostileServeRules go on with the plain service, whose pages any caller may ask for again, and have a team that the ordinary callers
+	// don't belong to. otherTeamKey is its key.
+	otherTeamKey      = "other-demo-key"
+	hostileServeRules = `idempotent = POST /pages
+[team "other"]
+keySha256 = 92ab6e3e3a125b74710d26a31c57b74903418719967d90996b888cc50a491057
+topUpTokens = first:1000000000
+models = small
+`
 	// serveBody is the largest legal size of a body, serveHead a legal size of a head.
 	serveBody = 1 << 20
 	serveHead = 30 << 10
@@ -34,6 +46,11 @@
 
 // startHostileServe starts one entry VM with small limits, its platform and an engine.
 func startHostileServe(t *testing.T) (hostileTarget, []hostileDoor, []hostileDoor) {
+	return startHostileServeWith(t, func(*fleet) {})
+}
+
+// startHostileServeWith starts them as configure has set them up.
+func startHostileServeWith(t *testing.T, configure func(f *fleet)) (hostileTarget, []hostileDoor, []hostileDoor) {
 	c := qt.New(t)
 	f := &fleet{c: c, dir: c.TempDir(), platformAddress: freeAddress(c), serviceAddress: freeAddress(c)}
 	for _, name := range []string{"ibiswinch", "standin"} {
@@ -41,12 +58,17 @@
 	}
 	f.topUpTokens, f.capacityTokens = 1_000_000_000, 10_000_000
 	f.memorySection = fmt.Sprintf("[memory]\nmaxHeld = %dMiB\nmaxStreams = %d\n", hostileHeldMB, hostileStreams)
+	f.limitsSection = hostileServeRules
+	service := f.serviceAddress
+	configure(f)
 	f.start("standin", "platform", "--listen", f.platformAddress)
 	f.engineAddresses = []string{freeAddress(c), freeAddress(c)}
 	for _, addr := range f.engineAddresses {
 		f.start("standin", "engine", "--listen", addr, "--load", "small:v1")
 	}
-	f.start("standin", "service", "--listen", f.serviceAddress, "--name", "shop")
+	if f.serviceAddress == service {
+		f.start("standin", "service", "--listen", f.serviceAddress, "--name", "shop")
+	}
 	f.addVM("vm0", "east-1", 0)
 	out, err := f.publish(0)
 	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
@@ -54,7 +76,7 @@
 	f.awaitReady(vm)
 	target := hostileTarget{
 		c: c, pid: vm.cmd.Process.Pid, maxBytes: (serveRestingMB + serveHeldFactor*hostileHeldMB) << 20, maxSockets: serveSockets,
-		ask: func() (string, error) { return sendCompletion(vm.callerAddress) },
+		ask: func() (string, error) { return sendCompletion(vm.callerAddress, f.callerTLSLines != "") },
 	}
 	door := func(name, address, target, key string) hostileDoor {
 		return hostileDoor{name: name, address: address, target: target, host: "h", maxHead: serveHead, headers: "Authorization: Bearer " + key + "\r\n"}
@@ -72,12 +94,15 @@
 }
 
 // sendCompletion sends an ordinary request on a new connection and returns its status line.
-func sendCompletion(address string) (string, error) {
+func sendCompletion(address string, secure bool) (string, error) {
 	conn, err := net.Dial("tcp4", address)
 	if err != nil {
 		return "", err
 	}
 	defer conn.Close()
+	if secure {
+		conn = tls.Client(conn, hostileTLS)
+	}
 	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
 	body := completionBody("an ordinary request")
 	head := fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n", teamKey, len(body))
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -75,8 +75,11 @@
 	if err != nil {
 		return err
 	}
-	vm.openRequests.Add(1)
-	defer vm.openRequests.Add(-1)
+	end, err := vm.beginRequest(team.Name)
+	if err != nil {
+		return err
+	}
+	defer end()
 	ctx, stop := vm.untilGivenUp(ctx)
 	defer stop()
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
@@ -179,10 +182,8 @@
 func (vm *VM) admitMemory(next handler) handler {
 	return func(ctx context.Context, r *completion, out openai.AnswerWriter) error {
 		n := int64(r.input.PromptBound) + requestOverheadBytes
-		if !vm.memory.Admit(n) || vm.openRequests.Load() > int64(vm.cfg.MaxStreams) {
-			vm.events.Event(event.MemoryFull, apexlog.Fields{"heldBytes": vm.memory.Held()})
-			return refusal.New(refusal.MemoryFull, "this entry VM holds too many bytes for open requests").
-				WithRetryAt(r.arrivedAt.Add(time.Second))
+		if !vm.memory.Admit(n) {
+			return vm.refuseFull()
 		}
 		defer vm.memory.Release(n)
 		return next(ctx, r, out)
--- a/entry/http.go
+++ b/entry/http.go
@@ -47,11 +47,13 @@
 
 func (vm *VM) httpServers(l Listeners) []*httpServer {
 	wide := tcp.NewWideBuffers(vm.cfg.Buffers())
+	callers := inbound.NewServer(inbound.ServerConfig{
+		Handler: vm.callerServer, Memory: vm.memory, MaxConnections: vm.cfg.MaxStreams + idleCallerConnections, MaxHeadBytes: maxHeaderBytes,
+		HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnContext: limitSendBuffer, WideBuffers: wide,
+	})
+	vm.callerHTTP.Store(callers)
 	return []*httpServer{
-		{listener: l.Callers, forCallers: true, server: inbound.NewServer(inbound.ServerConfig{
-			Handler: vm.callerServer, Memory: vm.memory, MaxConnections: vm.cfg.MaxStreams + idleCallerConnections, MaxHeadBytes: maxHeaderBytes,
-			HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnContext: limitSendBuffer, WideBuffers: wide,
-		})},
+		{listener: l.Callers, forCallers: true, server: callers},
 		{listener: l.Peers, server: inbound.NewServer(inbound.ServerConfig{
 			Handler: peer.NewHandler(peerServer{vm: vm}, vm.cfg.PeerToken), Memory: vm.memory, MaxConnections: peerConnections, MaxHeadBytes: innerHeaderBytes,
 			HeaderTimeout: readHeaderTimeout, RequestTimeout: bodyTimeout, IdleTimeout: idleTimeout, WideBuffers: wide,
--- a/entry/service.go
+++ b/entry/service.go
@@ -35,17 +35,21 @@
 	if !ok {
 		return nil, refusal.New(refusal.UnknownService, "the service %q does not exist", call.Service)
 	}
+	end, err := vm.beginRequest(team.Name)
+	if err != nil {
+		return nil, err
+	}
+	defer end()
 	n := int64(len(call.Body)) + requestOverheadBytes
 	if !vm.memory.Admit(n) {
-		return nil, refusal.New(refusal.MemoryFull, "this entry VM holds too many bytes for open requests")
+		return nil, vm.refuseFull()
 	}
 	defer vm.memory.Release(n)
-	vm.openRequests.Add(1)
-	defer vm.openRequests.Add(-1)
 	vm.quarantine.countRequest()
-	c := &serviceCall{vm: vm, call: call, service: svc, idempotent: svc.IsIdempotent(call.Method, call.Path)}
+	c := &serviceCall{
+		vm: vm, call: call, service: svc, idempotent: svc.IsIdempotent(call.Method, call.Path),
+	}
 	var answer *openai.ServiceAnswer
-	var err error
 	if c.idempotent {
 		answer, err = c.runIdempotent(ctx)
 	} else {
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -21,11 +21,13 @@
 	"ibiswinch/core/event"
 	"ibiswinch/core/membership"
 	"ibiswinch/core/memory"
+	"ibiswinch/core/overload"
 	"ibiswinch/core/record"
 	"ibiswinch/core/refusal"
 	"ibiswinch/core/sockets"
 	"ibiswinch/entry/stream"
 	"ibiswinch/io/apexlog"
+	"ibiswinch/io/inbound"
 	"ibiswinch/io/openai"
 	"ibiswinch/io/peer"
 	"ibiswinch/io/platform"
@@ -112,6 +114,11 @@
 	callerServer *openai.Server
 
 	openRequests atomic.Int64
+	// open shares the requests that may be open among the teams; openMu guards it.
+	openMu sync.Mutex
+	open   *overload.OpenCalls
+	// callerHTTP serves the callers, nil before Run.
+	callerHTTP atomic.Pointer[inbound.Server]
 	// draining is set when a planned stop begins, refusingNew when new requests are refused.
 	draining    atomic.Bool
 	refusingNew atomic.Bool
@@ -148,6 +155,7 @@
 	vm.configs.configAppliers = []configApplier{vm.servers, vm.changes, vm.quarantine, vm.bills, vm.budget}
 	vm.peers.digestHandlers = []digestHandler{vm.configs, vm.servers, vm.changes, vm.quarantine}
 
+	vm.open = overload.NewOpenCalls(cfg.MaxStreams)
 	vm.completions = chain(vm.relayAnswer, vm.admitMemory, vm.admitBills, vm.admitNotQuarantined, vm.admitBudget)
 	return vm, vm.buildCallerServer()
 }
