entry: answers of plain services that nobody reads fill no memory

What was seen, with ibiswinch serve: beside 150 callers that ask a plain service for answers of 1 MB and don't read them, the process passed its memory.

Cause: answers of plain services were held without being counted, and writing one could block for ever.

Why it works: an answer is counted from its first byte until it is written. One that can't be held gets 502, as it has run. A piece of 64 KB may block for 30 s, and connections whose answers aren't read are closed for others.

--- a/cmd/ibiswinch/hostile_serve_lasting_test.go
+++ b/cmd/ibiswinch/hostile_serve_lasting_test.go
@@ -43,6 +43,15 @@
 	target.servesBeside(t, hostileCrowd{size: serveConnections, doors: withKey(doors[1:2], otherTeamKey), play: playNoReader("ok")})
 }
 
+// TestHostileServeAnswers guards against large answers of plain services that nobody reads and that fill the memory.
+func TestHostileServeAnswers(t *testing.T) {
+	answer := make([]byte, serveBody)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(answer) }))
+	t.Cleanup(server.Close)
+	target, doors, _ := startHostileServeWith(t, func(f *fleet) { f.serviceAddress = server.Listener.Addr().String() })
+	target.servesBeside(t, hostileCrowd{size: serveCrowdSize, doors: doors[1:2], play: playNoReader("ok")})
+}
+
 // hostileServeCrowds are crowds of most kinds at the given doors.
 func hostileServeCrowds(doors []hostileDoor) []hostileCrowd {
 	var crowds []hostileCrowd
--- a/entry/service.go
+++ b/entry/service.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"ibiswinch/core/config"
+	"ibiswinch/core/memory"
 	"ibiswinch/core/order"
 	"ibiswinch/core/refusal"
 	"ibiswinch/core/retry"
@@ -27,6 +28,8 @@
 	idempotent bool
 	// mayHaveRun is set once an attempt has failed without proof that the server did not run the call.
 	mayHaveRun bool
+	// holding counts the answer until it is written.
+	holding *memory.Holding
 }
 
 // Service implements openai.Gateway.
@@ -47,7 +50,7 @@
 	defer vm.memory.Release(n)
 	vm.quarantine.countRequest()
 	c := &serviceCall{
-		vm: vm, call: call, service: svc, idempotent: svc.IsIdempotent(call.Method, call.Path),
+		vm: vm, call: call, service: svc, idempotent: svc.IsIdempotent(call.Method, call.Path), holding: vm.memory.NewHolding(),
 	}
 	var answer *openai.ServiceAnswer
 	if c.idempotent {
@@ -56,7 +59,12 @@
 		answer, err = c.runOrder(team)
 	}
 	vm.countOutcome(team.Name, err)
-	return answer, err
+	if err != nil {
+		c.holding.Release()
+		return nil, err
+	}
+	answer.Release = c.holding.Release
+	return answer, nil
 }
 
 // runIdempotent sends the call to one server after the other until one answers.
@@ -105,6 +113,9 @@
 		return refused
 	case eris.Is(err, service.ErrInvalidRequest):
 		return refusal.New(refusal.BadRequest, "%v", err)
+	case eris.Is(err, service.ErrNotHeld):
+		c.vm.closeStalled()
+		return refusal.New(refusal.ServerFailed, "%v", err).WithExecution(refusal.Ran)
 	case eris.Is(err, service.ErrTooLarge):
 		return refusal.New(refusal.ServerFailed, "%v", err).WithExecution(refusal.Ran)
 	}
@@ -176,7 +187,7 @@
 		return service.Response{}, refusal.New(refusal.NoServer, "the backend server left")
 	}
 	answer, err := client.Do(ctx, service.Request{
-		Method: c.call.Method, Path: c.requestURI(), Header: c.call.Header, Body: c.call.Body,
+		Method: c.call.Method, Path: c.requestURI(), Header: c.call.Header, Body: c.call.Body, Holding: c.holding,
 	})
 	failed := err != nil && ctx.Err() == nil
 	c.vm.servers.release(c.vm.cfg.Now(), placed.ID, routing.Outcome{Failed: failed})
--- a/io/openai/server.go
+++ b/io/openai/server.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"time"
 
@@ -62,6 +63,8 @@
 	Body   []byte
 	// Replayed is true if the answer was recorded by an earlier request with the same key.
 	Replayed bool
+	// Release is called once the answer has been written, or can't be; it may be nil.
+	Release func()
 	// BodyOmitted is true if the server's answer had a body that was not recorded.
 	BodyOmitted bool
 }
@@ -302,10 +305,19 @@
 		s.writeError(ctx, refusal.From(err))
 		return
 	}
-	writeServiceAnswer(ctx, answer)
+	if answer.Release != nil {
+		defer answer.Release()
+	}
+	s.writeServiceAnswer(ctx, answer)
 }
 
-func writeServiceAnswer(ctx iris.Context, answer *ServiceAnswer) {
+// The answer of a plain service is written in pieces of answerPieceBytes, each of which may block for answerTimeout.
+const (
+	answerPieceBytes = 64 << 10
+	answerTimeout    = 30 * time.Second
+)
+
+func (s *Server) writeServiceAnswer(ctx iris.Context, answer *ServiceAnswer) {
 	for name, values := range answer.Header {
 		for _, v := range values {
 			ctx.ResponseWriter().Header().Add(name, v)
@@ -321,7 +333,13 @@
 		ctx.Header(HeaderExecution, string(refusal.Ran))
 	}
 	ctx.StatusCode(answer.Status)
-	_, _ = ctx.Write(answer.Body)
+	control := http.NewResponseController(ctx.ResponseWriter().Naive())
+	for piece := range slices.Chunk(answer.Body, answerPieceBytes) {
+		_ = control.SetWriteDeadline(s.cfg.Now().Add(answerTimeout))
+		if _, err := ctx.Write(piece); err != nil {
+			break
+		}
+	}
 	// Otherwise iris would replace an error response without a body by its own page.
 	ctx.StopExecution()
 }
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/netip"
@@ -12,6 +13,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"ibiswinch/core/memory"
+	"ibiswinch/io/inbound"
 	"ibiswinch/io/internal/roundtrip"
 )
 
@@ -34,6 +37,8 @@
 	ErrInvalidRequest = eris.New("request can't be forwarded")
 	// ErrTooLarge means that the body of the response exceeds the limit. The request has run.
 	ErrTooLarge = eris.New("answer of the service is over the size limit")
+	// ErrNotHeld means that the body of the response may not be held. The request has run.
+	ErrNotHeld = eris.New("answer of the service can't be held")
 )
 
 // requestHeaders and responseHeaders are forwarded; all other headers are dropped. Callers' credentials are for the
@@ -88,6 +93,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Holding counts the body of the response; without it nothing does.
+	Holding inbound.Holding
 }
 
 // Response is the response of the service.
@@ -112,7 +119,7 @@
 	case err != nil:
 		return Response{}, eris.Wrapf(ErrOutcomeUnknown, "%v", err)
 	}
-	return c.readResponse(r.Method, resp)
+	return c.readResponse(r, resp)
 }
 
 func (c *Client) buildRequest(ctx context.Context, r Request) (*http.Request, error) {
@@ -145,25 +152,33 @@
 	return req.WithContext(ctx), nil
 }
 
-func (c *Client) readResponse(method string, resp *http.Response) (Response, error) {
+func (c *Client) readResponse(r Request, resp *http.Response) (Response, error) {
 	response := Response{
 		Status:   resp.StatusCode,
 		Header:   selectHeaders(resp.Header, responseHeaders),
 		Draining: resp.Header.Get("Service-Draining") == "true",
 	}
-	if method == http.MethodHead {
+	if r.Method == http.MethodHead {
 		// There is no body; Content-Length is that of the response to GET.
 		resp.Body.Close()
 		return response, nil
 	}
-	body, err := roundtrip.ReadBody(resp, c.cfg.MaxResponseBytes)
+	defer resp.Body.Close()
+	holding := r.Holding
+	if holding == nil {
+		holding = memory.NewLimiter(0).NewHolding()
+	}
+	body := inbound.Buffer{Holding: holding, Expected: min(resp.ContentLength, c.cfg.MaxResponseBytes)}
+	err := body.ReadAll(resp.Body, c.cfg.MaxResponseBytes)
 	switch {
-	case eris.Is(err, roundtrip.ErrTooLarge):
+	case errors.Is(err, memory.ErrFull):
+		return Response{}, ErrNotHeld
+	case errors.Is(err, inbound.ErrTooLarge):
 		return Response{}, eris.Wrapf(ErrTooLarge, "limit is %d bytes", c.cfg.MaxResponseBytes)
 	case err != nil:
 		return Response{}, eris.Wrapf(ErrOutcomeUnknown, "read answer: %v", err)
 	}
-	response.Body = body
+	response.Body = body.Bytes
 	return response, nil
 }
 
