gateway: the text of a 502 quotes nothing that a server sent

What callers saw: bytes that a server sent where its answer was due stood in the text of the 502; they may be the answer to another team's request.

Cause: the error of net/http, which quotes them, was put into the refusal.

Why it works: the text is fixed; the error stands in the log of the attempt.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -258,7 +258,8 @@
 		x.fail(refusal.New(refusal.NoCapacity, "no server has room").WithRetryAt(x.retryAt()))
 		return
 	}
-	x.fail(refusal.New(refusal.ServerFailed, "the server failed: %v", result.err))
+	// The error may quote what the server sent, which may belong to another request. Only the log has it.
+	x.fail(refusal.New(refusal.ServerFailed, "the server failed"))
 }
 
 // abandon ends a call whose caller has left. It may have closed only its direction, and would take the end of the handler for
