platform: OPTIONS * gets 404, as other targets without a route

What callers saw: 200 without a signature for OPTIONS *, though no route matches.

Failed before: TestOptionsOfNothingIsAnswered, new, got 200.

Why it works: the handler gets such requests and finds no route. The same holds for the other listeners.

--- a/cmd/ibiswinch/listeners.go
+++ b/cmd/ibiswinch/listeners.go
@@ -104,6 +104,8 @@
 		ConnContext:       platform.ConnContext,
 		ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxCallerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
 		ConnState: p.callers.SetState,
+		// net/http would answer OPTIONS * itself, without a signature.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
--- a/cmd/ibiswinch/platform_test.go
+++ b/cmd/ibiswinch/platform_test.go
@@ -224,6 +224,21 @@
 	}
 }
 
+// TestOptionsOfNothingIsAnswered guards against a success without a server's signature, for a target that is no path.
+func TestOptionsOfNothingIsAnswered(t *testing.T) {
+	f := startPlatform(t)
+	for _, target := range []string{"*", "/none"} {
+		conn, err := net.Dial("tcp4", f.front)
+		f.c.Assert(err, qt.IsNil)
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "OPTIONS %s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r-1\r\nAuthorization: Bearer key-1\r\n\r\n", target)
+		f.c.Assert(err, qt.IsNil)
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		f.c.Assert(err, qt.IsNil)
+		f.c.Check(strings.TrimSpace(line), qt.Equals, "HTTP/1.1 404 Not Found", qt.Commentf("%s", target))
+	}
+}
+
 // TestStoppedProcessTakesConnections guards against requests that are read just before the process exits.
 func TestStoppedProcessTakesConnections(t *testing.T) {
 	f := startPlatform(t)
--- a/io/inbound/server.go
+++ b/io/inbound/server.go
@@ -51,7 +51,9 @@
 	s := &Server{limits: NewLimits(cfg.MaxConnections, cfg.Memory), wideBuffers: cfg.WideBuffers}
 	s.Server = &http.Server{
 		Handler: &headCounter{next: cfg.Handler, memory: cfg.Memory}, MaxHeaderBytes: cfg.MaxHeadBytes, ConnState: setState,
-		ReadHeaderTimeout: cfg.HeaderTimeout, ReadTimeout: cfg.RequestTimeout, WriteTimeout: cfg.WriteTimeout, IdleTimeout: cfg.IdleTimeout,
+		// net/http would answer OPTIONS * itself.
+		DisableGeneralOptionsHandler: true,
+		ReadHeaderTimeout:            cfg.HeaderTimeout, ReadTimeout: cfg.RequestTimeout, WriteTimeout: cfg.WriteTimeout, IdleTimeout: cfg.IdleTimeout,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			if tracked, ok := c.(*conn); ok {
 				ctx, c = context.WithValue(ctx, connKey{}, tracked), tracked.Conn
