gateway: a team's name may have a slash

Cause: keys of the ledger are the team, a slash and the holder, and were split at the first slash, so that no record of the team was found again.

Why it works: a slash in a team's name is escaped in the key. Keys of other names stay as they were.

--- a/gateway/budgets_test.go
+++ b/gateway/budgets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -44,10 +45,24 @@
 	f.c.Assert(f.post("/order/3").body, qt.Equals, "3")
 }
 
-// TestTwoVMsShareABudget guards against two entry VMs that spend the same tokens.
+// TestTwoVMsShareABudget guards against two entry VMs that spend the same tokens, whatever the name of the team.
 func TestTwoVMsShareABudget(t *testing.T) {
-	f := newFixture(t)
-	other := f.start("vm-2")
+	for _, name := range []string{"team", "a/team", "/", "a\x1f/\x1f-"} {
+		t.Run(strconv.Quote(name), func(t *testing.T) {
+			f := newFixtureWithoutVMs(t, nil)
+			config := testCatalog(2, 100_000)
+			config.Teams[0].Name = name
+			f.log.put(keyed.Operations, "config", config)
+			f.gateway = f.start("vm-1")
+			admitted := f.spendAtTwo(f.start("vm-2"))
+			f.c.Assert(admitted <= 100_000, qt.IsTrue, qt.Commentf("%d tokens", admitted))
+			f.c.Assert(admitted > 70_000, qt.IsTrue, qt.Commentf("%d tokens", admitted))
+		})
+	}
+}
+
+// spendAtTwo sends calls to the gateway and another one in turn and returns the tokens of those that were served.
+func (f *fixture) spendAtTwo(other *Gateway) int64 {
 	admitted := int64(0)
 	for i := range 60 {
 		g := f.gateway
@@ -64,8 +79,7 @@
 			admitted += 4000
 		}
 	}
-	f.c.Assert(admitted <= 100_000, qt.IsTrue, qt.Commentf("%d tokens", admitted))
-	f.c.Assert(admitted > 70_000, qt.IsTrue, qt.Commentf("%d tokens", admitted))
+	return admitted
 }
 
 // TestPlannedStopReturnsReservation guards against tokens that stay reserved after a planned stop.
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -317,7 +316,7 @@
 	if lp.setCompletion(r) {
 		return
 	}
-	team, holder, ok := strings.Cut(r.Key, "/")
+	team, holder, ok := parseLedgerKey(r.Key)
 	if ok && holder == ceilingHolder {
 		lp.setCeiling(team, r)
 		return
--- a/gateway/renew.go
+++ b/gateway/renew.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -334,4 +335,19 @@
 	return plans
 }
 
-func ledgerKey(team, holder string) string { return cmp.Or(team, "-") + "/" + holder }
+// teamEscaper and teamUnescaper keep a slash in the name of a team apart from the one that ends it in a key of the ledger.
+var (
+	teamEscaper   = strings.NewReplacer("\x1f", "\x1f\x1f", "/", "\x1f-")
+	teamUnescaper = strings.NewReplacer("\x1f\x1f", "\x1f", "\x1f-", "/")
+)
+
+// ledgerKey returns the key of a holder's record of a team in the ledger.
+func ledgerKey(team, holder string) string {
+	return teamEscaper.Replace(cmp.Or(team, "-")) + "/" + holder
+}
+
+// parseLedgerKey is the reverse of ledgerKey. It reports whether the key is one.
+func parseLedgerKey(key string) (team, holder string, ok bool) {
+	escaped, holder, ok := strings.Cut(key, "/")
+	return teamUnescaper.Replace(escaped), holder, ok
+}
--- a/gateway/rewrite.go
+++ b/gateway/rewrite.go
@@ -5,7 +5,6 @@
 	"errors"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -290,7 +289,7 @@
 	keys := choose(lp.budgets.cfg.Now())
 	var records []keyed.Record
 	for _, key := range keys[:min(len(keys), maxRewriteRecords)] {
-		team, holder, _ := strings.Cut(key, "/")
+		team, holder, _ := parseLedgerKey(key)
 		r, err := encodeReservation(team, holder, lp.recordsOf(team).Record(holder))
 		if err != nil {
 			return nil, err
--- a/gateway/share.go
+++ b/gateway/share.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -211,7 +210,7 @@
 	}
 	all := true
 	for _, r := range records {
-		team, _, _ := strings.Cut(r.Key, "/")
+		team, _, _ := parseLedgerKey(r.Key)
 		all = b.partitionOf(team).learn(r) && all
 	}
 	return all
@@ -220,7 +219,7 @@
 // learn takes note of a record. It isn't answered for if this entry VM has read a later era of the log, where it may have
 // confirmed already that all it knew was rewritten.
 func (lp *ledgerPartition) learn(r keyed.Record) bool {
-	team, holder, ok := strings.Cut(r.Key, "/")
+	team, holder, ok := parseLedgerKey(r.Key)
 	var record escrow.Record
 	if !ok || json.Unmarshal(r.Value, &record) != nil {
 		lp.budgets.cfg.Events.Event(event.RecordSkipped, apexlog.Fields{"key": r.Key})
