sockets: more descriptors than memory leave room for callers

What would be seen: with settings that name no descriptors, or very many, the connections of other entry VMs were given all the memory for unread bytes, and callers one connection. Found by reading; no deployment has such settings.

Failed before: TestUnreadBytesExceedMemory with 1,048,576 descriptors on 284 and 96 MB: 1 caller, 100 required.

Why it works: each direction between entry VMs takes an eighth of that memory at most. The limits of all deployments stay as they were.

--- a/core/connections/table.go
+++ b/core/connections/table.go
@@ -69,7 +69,8 @@
 func NewTable(limit int) *Table { return &Table{limit: max(limit, 1), open: map[*Conn]struct{}{}} }
 
 // Add adds a connection that has just been accepted. close is called with the phase of the connection if it is to be closed for others,
-// and again if it is still open after closeTime. Add returns nil if there are too many and none may be closed now; the new one must be closed then.
+// and again if it is still open after closeTime. Add returns nil if there are too many and none may be closed now; the new one must be
+// closed then.
 func (t *Table) Add(now time.Time, close func(Phase)) *Conn {
 	t.mu.Lock()
 	victims := t.chooseVictims(now)
--- a/core/overload/open.go
+++ b/core/overload/open.go
@@ -7,7 +7,8 @@
 )
 
 // OpenCalls shares the calls that may be open at a time among the teams, so that the calls of one team that wait for silent servers
-// leave room for those of others. Calls of a team below its share aren't refused; the connections of the callers bound them. It is not safe for concurrent use.
+// leave room for those of others. Calls of a team below its share aren't refused; the connections of the callers bound them. It is not
+// safe for concurrent use.
 type OpenCalls struct {
 	limit, total int
 	// byTeam has the teams with open calls.
--- a/core/sockets/sockets.go
+++ b/core/sockets/sockets.go
@@ -13,6 +13,8 @@
 	// peerPercent is the part of the sockets for the calls of other entry VMs, and again for the calls to them; at least minPeers.
 	peerPercent = 8
 	minPeers    = 16
+	// peerMemoryPart is the part of the memory, 1/peerMemoryPart, that the least buffers of either may take.
+	peerMemoryPart = 8
 	// others are listeners and connections to the store.
 	others = 24
 	// perCaller are the connection of a caller and the one to the server that answers it.
@@ -71,7 +73,11 @@
 // Divide divides the sockets of a process with a number of file descriptors and the given shares of its memory, which are 0 for none.
 func Divide(descriptors int, m memory.Shares) Limits {
 	n := descriptors - reservedFiles
-	l := Limits{Inspection: inspection, Peers: max(n*peerPercent/100, minPeers)}
+	l := Limits{Inspection: inspection, Peers: n * peerPercent / 100}
+	if m.Unread > 0 {
+		l.Peers = min(l.Peers, int(m.Unread/peerMemoryPart/(kernelFactor*minReceiveBytes)))
+	}
+	l.Peers = max(l.Peers, minPeers)
 	l.OutgoingPeers = l.Peers
 	inner := l.Peers + l.OutgoingPeers + inspectionListeners*l.Inspection
 	l.Callers = (n - inner - others) / perCaller
--- a/core/sockets/sockets_test.go
+++ b/core/sockets/sockets_test.go
@@ -9,9 +9,9 @@
 	"ibiswinch/core/sockets"
 )
 
-// machines are the smallest machines of the deployments, and settings of tests.
+// machines are the smallest machines of the deployments, settings of tests, and machines with more descriptors than memory for them.
 var machines = []struct{ memoryMB, descriptors int }{
-	{96, 500}, {144, 3075}, {160, 4100}, {184, 4100}, {256, 4096}, {284, 4100}, {424, 10250}, {536, 8192}, {16384, 1 << 20},
+	{96, 500}, {144, 3075}, {160, 4100}, {184, 4100}, {256, 4096}, {284, 4100}, {424, 10250}, {536, 8192}, {16384, 1 << 20}, {284, 1 << 20}, {96, 1 << 20},
 }
 
 // TestSocketLimitsExceedDescriptors guards against limits of the listeners and of the connections to others that together pass the
