--- a/io/inbound/server.go
+++ b/io/inbound/server.go
@@ -51,9 +51,8 @@
 	s := &Server{limits: NewLimits(cfg.MaxConnections, cfg.Memory), wideBuffers: cfg.WideBuffers}
 	s.Server = &http.Server{
 		Handler: &headCounter{next: cfg.Handler, memory: cfg.Memory}, MaxHeaderBytes: cfg.MaxHeadBytes, ConnState: setState,
-		// net/http would answer OPTIONS * itself.
-		DisableGeneralOptionsHandler: true,
-		ReadHeaderTimeout:            cfg.HeaderTimeout, ReadTimeout: cfg.RequestTimeout, WriteTimeout: cfg.WriteTimeout, IdleTimeout: cfg.IdleTimeout,
+		ReadHeaderTimeout: cfg.HeaderTimeout, ReadTimeout: cfg.RequestTimeout, WriteTimeout: cfg.WriteTimeout, IdleTimeout: cfg.IdleTimeout,
+		DisableGeneralOptionsHandler: true, // net/http would answer OPTIONS * itself.
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			if tracked, ok := c.(*conn); ok {
 				ctx, c = context.WithValue(ctx, connKey{}, tracked), tracked.Conn
