connections: metrics of connections closed or refused, and of wide buffers

What operators saw: beside clients that don't behave, connections of callers are closed for others, new ones are refused and long transfers get no wide receive buffer, and nothing but the refusals of whole requests was counted.

Now ibiswinch_caller_connections, ..._closed, ..._refused and ibiswinch_wide_buffer_bytes tell it, for platform and serve.

--- a/cmd/ibiswinch/platform.go
+++ b/cmd/ibiswinch/platform.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"ibiswinch/core/connections"
 	"ibiswinch/core/event"
 	"ibiswinch/core/memory"
 	"ibiswinch/core/overload"
@@ -127,6 +128,7 @@
 	p.metrics, err = prometheus.New(prometheus.Gauges{
 		HeldBytes: p.memory.Held, OpenRequests: func() int64 { return p.gateway.OpenCalls() }, LivePeers: func() int64 { return int64(p.gateway.Members()) },
 		FreeTokens: func() int64 { return p.gateway.FreeTokens() }, DroppedLines: p.logOutput.Dropped,
+		CallerConnections: func() connections.Counts { return p.callers.Limits.Counts() }, WideBufferBytes: p.wideBuffers.Bytes,
 		EvacuatedDomains: func() int64 { domains, _ := p.gateway.Evacuated(); return domains },
 		EvacuatedCalls:   func() int64 { _, calls := p.gateway.Evacuated(); return calls },
 	})
--- a/core/connections/table.go
+++ b/core/connections/table.go
@@ -63,6 +63,21 @@
 	open map[*Conn]struct{}
 	// searchAt and searchStalledAt are when connections to close, or stalled ones, are searched for again.
 	searchAt, searchStalledAt time.Time
+	// closed and refused count connections as Counts does.
+	closed, refused int
+}
+
+// Counts are the numbers of connections of a listener.
+type Counts struct {
+	// Open connections are open now. Closed ones were closed for others since the start, Refused ones right after they were accepted.
+	Open, Closed, Refused int
+}
+
+// Counts returns the numbers of connections.
+func (t *Table) Counts() Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Counts{Open: len(t.open), Closed: t.closed, Refused: t.refused}
 }
 
 // NewTable returns a table for up to limit connections.
@@ -72,17 +87,17 @@
 // and again if it is still open after closeTime. Add returns nil if there are too many and none may be closed now; the new one must be
 // closed then.
 func (t *Table) Add(now time.Time, close func(Phase)) *Conn {
-	t.mu.Lock()
-	victims := t.chooseVictims(now)
 	var c *Conn
-	if len(t.open) < t.limit {
-		c = &Conn{table: t, close: close, phase: Receiving, since: now}
-		t.open[c] = struct{}{}
-	}
-	t.mu.Unlock()
-	for _, v := range victims {
-		v.close(v.closedIn)
-	}
+	t.closeChosen(func() []*Conn {
+		victims := t.chooseVictims(now)
+		if len(t.open) < t.limit {
+			c = &Conn{table: t, close: close, phase: Receiving, since: now}
+			t.open[c] = struct{}{}
+		} else {
+			t.refused++
+		}
+		return victims
+	})
 	return c
 }
 
@@ -119,6 +134,7 @@
 	victims := candidates[:min(len(candidates), n)]
 	for _, v := range victims {
 		v.closing, v.closedIn, v.closedAt = true, v.phase, now
+		v.table.closed++
 	}
 	return victims
 }
@@ -126,12 +142,7 @@
 // CloseStalled closes some connections whose answers their peers don't read, as many as are kept free for new ones. It is for requests
 // that are refused because others are open.
 func (t *Table) CloseStalled(now time.Time) {
-	t.mu.Lock()
-	victims := t.chooseStalled(now)
-	t.mu.Unlock()
-	for _, v := range victims {
-		v.close(v.closedIn)
-	}
+	t.closeChosen(func() []*Conn { return t.chooseStalled(now) })
 }
 
 func (t *Table) chooseStalled(now time.Time) []*Conn {
@@ -148,6 +159,16 @@
 	return markFirst(now, candidates, t.spare())
 }
 
+// closeChosen closes the connections that choose returns, which is called with mu held.
+func (t *Table) closeChosen(choose func() []*Conn) {
+	t.mu.Lock()
+	chosen := choose()
+	t.mu.Unlock()
+	for _, c := range chosen {
+		c.close(c.closedIn)
+	}
+}
+
 // isClosing reports whether the connection is expected to be closed soon.
 func (c *Conn) isClosing(now time.Time) bool { return c.closing && now.Sub(c.closedAt) < closeTime }
 
@@ -155,13 +176,6 @@
 	return c.phase == Idle || c.phase != Serving && now.Sub(c.since) >= minAge
 }
 
-// Open returns the number of open connections.
-func (t *Table) Open() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.open)
-}
-
 // SetPhase records that the connection is used for something else.
 func (c *Conn) SetPhase(now time.Time, phase Phase) {
 	c.table.mu.Lock()
--- a/core/connections/table_test.go
+++ b/core/connections/table_test.go
@@ -22,10 +22,11 @@
 			conns = append(conns, conn)
 		}
 	}
-	c.Assert(table.Open(), qt.Equals, 64)
+	c.Assert(table.Counts().Open, qt.Equals, 64)
 	c.Assert(closed, qt.Equals, 0)
 	c.Assert(table.Add(start.Add(time.Second), func(connections.Phase) {}), qt.IsNil)
 	c.Assert(closed > 0, qt.IsTrue)
+	c.Assert(table.Counts(), qt.Equals, connections.Counts{Open: 64, Closed: closed, Refused: 37})
 	for _, conn := range conns[:10] {
 		conn.Remove()
 		conn.Remove()
--- a/entry/http.go
+++ b/entry/http.go
@@ -13,7 +13,6 @@
 	"ibiswinch/io/inbound"
 	"ibiswinch/io/operator"
 	"ibiswinch/io/peer"
-	"ibiswinch/io/tcp"
 )
 
 // Timeouts and bounds of the HTTP servers.
@@ -46,17 +45,16 @@
 }
 
 func (vm *VM) httpServers(l Listeners) []*httpServer {
-	wide := tcp.NewWideBuffers(vm.cfg.Buffers())
 	callers := inbound.NewServer(inbound.ServerConfig{
 		Handler: vm.callerServer, Memory: vm.memory, MaxConnections: vm.cfg.MaxStreams + idleCallerConnections, MaxHeadBytes: maxHeaderBytes,
-		HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnContext: limitSendBuffer, WideBuffers: wide,
+		HeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnContext: limitSendBuffer, WideBuffers: vm.wideBuffers,
 	})
 	vm.callerHTTP.Store(callers)
 	return []*httpServer{
 		{listener: l.Callers, forCallers: true, server: callers},
 		{listener: l.Peers, server: inbound.NewServer(inbound.ServerConfig{
 			Handler: peer.NewHandler(peerServer{vm: vm}, vm.cfg.PeerToken), Memory: vm.memory, MaxConnections: peerConnections, MaxHeadBytes: innerHeaderBytes,
-			HeaderTimeout: readHeaderTimeout, RequestTimeout: bodyTimeout, IdleTimeout: idleTimeout, WideBuffers: wide,
+			HeaderTimeout: readHeaderTimeout, RequestTimeout: bodyTimeout, IdleTimeout: idleTimeout, WideBuffers: vm.wideBuffers,
 		})},
 		{listener: l.Operators, server: inbound.NewServer(inbound.ServerConfig{
 			Handler: operator.NewHandler(operator.Config{
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"ibiswinch/core/connections"
 	"ibiswinch/core/event"
 	"ibiswinch/core/membership"
 	"ibiswinch/core/memory"
@@ -32,6 +33,7 @@
 	"ibiswinch/io/peer"
 	"ibiswinch/io/platform"
 	"ibiswinch/io/prometheus"
+	"ibiswinch/io/tcp"
 )
 
 // Streams of the log.
@@ -117,6 +119,8 @@
 	// open shares the requests that may be open among the teams; openMu guards it.
 	openMu sync.Mutex
 	open   *overload.OpenCalls
+	// wideBuffers are those of the connections of callers and peers.
+	wideBuffers *tcp.WideBuffers
 	// callerHTTP serves the callers, nil before Run.
 	callerHTTP atomic.Pointer[inbound.Server]
 	// draining is set when a planned stop begins, refusingNew when new requests are refused.
@@ -156,6 +160,7 @@
 	vm.peers.digestHandlers = []digestHandler{vm.configs, vm.servers, vm.changes, vm.quarantine}
 
 	vm.open = overload.NewOpenCalls(cfg.MaxStreams)
+	vm.wideBuffers = tcp.NewWideBuffers(cfg.Buffers())
 	vm.completions = chain(vm.relayAnswer, vm.admitMemory, vm.admitBills, vm.admitNotQuarantined, vm.admitBudget)
 	return vm, vm.buildCallerServer()
 }
@@ -172,10 +177,11 @@
 
 func (vm *VM) buildCallerServer() error {
 	metrics, err := prometheus.New(prometheus.Gauges{
-		HeldBytes:    vm.memory.Held,
-		OpenRequests: vm.openRequests.Load,
-		PendingBills: vm.bills.pending,
-		LivePeers:    func() int64 { return vm.peers.liveCount(vm.cfg.Now()) },
+		HeldBytes:         vm.memory.Held,
+		OpenRequests:      vm.openRequests.Load,
+		PendingBills:      vm.bills.pending,
+		CallerConnections: func() connections.Counts { return vm.callerHTTP.Load().Counts() }, WideBufferBytes: vm.wideBuffers.Bytes,
+		LivePeers: func() int64 { return vm.peers.liveCount(vm.cfg.Now()) },
 	})
 	if err != nil {
 		return err
--- a/io/inbound/limits.go
+++ b/io/inbound/limits.go
@@ -56,6 +56,14 @@
 // CloseStalled closes some connections whose peers don't read their answers.
 func (l *Limits) CloseStalled() { l.table.CloseStalled(time.Now()) }
 
+// Counts returns the numbers of connections; it is zero for nil Limits.
+func (l *Limits) Counts() connections.Counts {
+	if l == nil {
+		return connections.Counts{}
+	}
+	return l.table.Counts()
+}
+
 // Tracker follows what one connection is used for. A nil Tracker follows nothing.
 type Tracker struct {
 	conn   *connections.Conn
--- a/io/inbound/server.go
+++ b/io/inbound/server.go
@@ -74,6 +74,14 @@
 // CloseStalled closes some connections whose peers don't read their answers.
 func (s *Server) CloseStalled() { s.limits.CloseStalled() }
 
+// Counts returns the numbers of connections; it is zero for a nil Server.
+func (s *Server) Counts() connections.Counts {
+	if s == nil {
+		return connections.Counts{}
+	}
+	return s.limits.Counts()
+}
+
 // connKey is the key of a connection in the context of its requests.
 type connKey struct{}
 
--- a/io/prometheus/metrics.go
+++ b/io/prometheus/metrics.go
@@ -13,6 +13,8 @@
 	"go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"ibiswinch/core/connections"
 )
 
 // Attribute keys. Each has a limited set of values: team names come from the rules, never from callers.
@@ -36,6 +38,9 @@
 	FreeTokens func() int64
 	// DroppedLines is the number of log lines dropped since the start.
 	DroppedLines func() int64
+	// CallerConnections are the numbers of connections of callers, WideBufferBytes the memory of wide receive buffers.
+	CallerConnections func() connections.Counts
+	WideBufferBytes   func() int64
 	// EvacuatedDomains is the number of evacuated failure domains, EvacuatedCalls that of the calls that still run there.
 	EvacuatedDomains func() int64
 	EvacuatedCalls   func() int64
@@ -85,6 +90,12 @@
 }
 
 func registerGauges(meter metric.Meter, gauges Gauges) error {
+	countOf := func(of func(connections.Counts) int) func() int64 {
+		if gauges.CallerConnections == nil {
+			return nil
+		}
+		return func() int64 { return int64(of(gauges.CallerConnections())) }
+	}
 	all := []struct {
 		name string
 		read func() int64
@@ -97,6 +108,10 @@
 		{"log_lines_dropped", gauges.DroppedLines},
 		{"evacuated_domains", gauges.EvacuatedDomains},
 		{"evacuated_calls", gauges.EvacuatedCalls},
+		{"caller_connections", countOf(func(n connections.Counts) int { return n.Open })},
+		{"caller_connections_closed", countOf(func(n connections.Counts) int { return n.Closed })},
+		{"caller_connections_refused", countOf(func(n connections.Counts) int { return n.Refused })},
+		{"wide_buffer_bytes", gauges.WideBufferBytes},
 	}
 	for _, g := range all {
 		if g.read == nil {
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -52,6 +52,14 @@
 	return &WideBuffers{sizes: b, memory: memory.NewLimiter(b.WideTotal)}
 }
 
+// Bytes returns the memory that wide buffers take beyond that of others.
+func (b *WideBuffers) Bytes() int64 {
+	if b == nil {
+		return 0
+	}
+	return b.memory.Held()
+}
+
 // NewReceiver returns the receiver of a connection.
 func (b *WideBuffers) NewReceiver(c syscall.Conn) *Receiver { return &Receiver{buffers: b, conn: c} }
 
