serve: a planned stop has a bound, and cuts no answer that is read in time

And an answer of a service that was being read slowly was cut 2 s after the stop began, however long the drain timeout.

Cause: the stop waited 1 s for answers to given-up requests and then 2 s at each of the three listeners, one after the other, for connections whose requests haven't arrived. The time for answers was those 2 s: a call of a service counts as ended before its answer is written.

--- a/core/connections/table.go
+++ b/core/connections/table.go
@@ -159,6 +159,19 @@
 	return markFirst(now, candidates, t.spare())
 }
 
+// CloseReceiving closes all connections whose requests haven't arrived wholly. It is for a planned stop that has waited for them.
+func (t *Table) CloseReceiving(now time.Time) {
+	t.closeChosen(func() []*Conn {
+		var receiving []*Conn
+		for c := range t.open {
+			if c.phase == Receiving {
+				receiving = append(receiving, c)
+			}
+		}
+		return markFirst(now, receiving, len(receiving))
+	})
+}
+
 // closeChosen closes the connections that choose returns, which is called with mu held.
 func (t *Table) closeChosen(choose func() []*Conn) {
 	t.mu.Lock()
--- a/core/connections/table_test.go
+++ b/core/connections/table_test.go
@@ -134,3 +134,16 @@
 	table.CloseStalled(now.Add(100 * time.Millisecond))
 	c.Assert(closed, qt.DeepEquals, []string{"stalled for long", "stalled"})
 }
+
+// TestStopClosesAnswers guards against a planned stop that closes what is being answered together with what hasn't arrived wholly.
+func TestStopClosesAnswers(t *testing.T) {
+	c := qt.New(t)
+	table := connections.NewTable(64)
+	var closed []connections.Phase
+	for _, phase := range []connections.Phase{connections.Idle, connections.Receiving, connections.Sending, connections.Serving} {
+		conn := table.Add(start, func(p connections.Phase) { closed = append(closed, p) })
+		conn.SetPhase(start, phase)
+	}
+	table.CloseReceiving(start)
+	c.Assert(closed, qt.DeepEquals, []connections.Phase{connections.Receiving})
+}
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -49,11 +49,12 @@
 	services []*service.Server
 	// platform is the stand-in of the platform.
 	platform *standin.Server
-	// callers and engineAddr are the addresses of the entry VM and of its first engine.
-	callers, engineAddr string
-	client              *http.Client
-	// stop begins a planned stop of the entry VM.
-	stop func()
+	// callers, peers and operators are the addresses of the entry VM, engineAddr is that of its first engine.
+	callers, peers, operators, engineAddr string
+	client                                *http.Client
+	// stop begins a planned stop of the entry VM; ended is closed at its end.
+	stop  func()
+	ended chan struct{}
 }
 
 type testVMConfig struct {
@@ -157,7 +158,7 @@
 	events, err := apexlog.New(apexlog.Config{Output: io.Discard, Format: "text", Level: "error", VM: "a1"})
 	qt.Assert(n.tb, err, qt.IsNil)
 	l := entry.Listeners{Callers: listen(n.tb), Peers: listen(n.tb), Operators: listen(n.tb)}
-	n.callers = l.Callers.Addr().String()
+	n.callers, n.peers, n.operators = l.Callers.Addr().String(), l.Peers.Addr().String(), l.Operators.Addr().String()
 	if cfg.maxHeld == 0 {
 		cfg.maxHeld = 1 << 30
 	}
@@ -176,12 +177,14 @@
 		n.vm.SetQueueTimeout(cfg.queueTimeout)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	n.stop = stop
-	done := make(chan error, 1)
-	go func() { done <- n.vm.Run(ctx, l) }()
+	n.stop, n.ended = stop, make(chan struct{})
+	go func() {
+		defer close(n.ended)
+		_ = n.vm.Run(ctx, l)
+	}()
 	n.tb.Cleanup(func() {
 		stop()
-		<-done
+		<-n.ended
 	})
 	n.await("ready", func() bool { return n.vm.CheckReady() == nil })
 	// An entry VM is ready before the first top-up is read back, but refuses requests until then.
--- a/entry/http.go
+++ b/entry/http.go
@@ -24,7 +24,6 @@
 	// callerSendBuffer bounds what the kernel buffers for a caller that doesn't read. Without a bound, the buffer grows to
 	// several MB per connection and takes the whole answer.
 	callerSendBuffer = 64 << 10
-	shutdownTimeout  = 2 * time.Second
 	// innerHeaderBytes bounds the heads of calls of peers and operators.
 	innerHeaderBytes = 8 << 10
 	// idleCallerConnections are the connections of callers beyond one for each stream; peerConnections and operatorConnections are the
@@ -86,14 +85,6 @@
 	return nil
 }
 
-func (s *httpServer) shutdown(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
-	defer cancel()
-	if s.server.Shutdown(ctx) != nil {
-		_ = s.server.Close()
-	}
-}
-
 // closeAll closes all listeners and connections, including those with open requests.
 func closeAll(servers []*httpServer) {
 	for _, s := range servers {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -48,3 +49,47 @@
 		c.Check(a.execution, qt.Equals, refusal.Unknown, qt.Commentf("%d %s", a.status, a.body))
 	}
 }
+
+// TestStopWaitsForUnfinishedRequests guards against a planned stop that waits, at one listener after the other, for requests that never
+// arrive wholly.
+func TestStopWaitsForUnfinishedRequests(t *testing.T) {
+	c := qt.New(t)
+	n := startVM(t, testVMConfig{drainTimeout: 100 * time.Millisecond})
+	for _, address := range []string{n.callers, n.peers, n.operators} {
+		for _, text := range []string{"", "POST / HTTP/1.1\r\nHost: h\r\n", "POST /v1/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n{"} {
+			conn, err := net.Dial("tcp", address)
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			_, err = io.WriteString(conn, strings.Replace(text, "\r\n\r\n", "\r\nAuthorization: Bearer "+teamKey+"\r\n\r\n", 1))
+			c.Assert(err, qt.IsNil)
+		}
+	}
+	start := time.Now()
+	n.stop()
+	<-n.ended
+	// At one listener after the other it was 6 s and more.
+	c.Assert(time.Since(start) < 5*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(start)))
+}
+
+// TestStopCutsAnswer guards against a planned stop that cuts an answer of a service though its caller reads it in time.
+func TestStopCutsAnswer(t *testing.T) {
+	const (
+		bodyBytes = 900 << 10
+		// pause is longer than what a stop has for answers once it has given their requests up.
+		pause = 3 * time.Second
+	)
+	c := qt.New(t)
+	n := startVM(t, testVMConfig{services: 1, drainTimeout: awaitTimeout, rules: "[service \"shop\"]\nnotIdempotent = POST /orders\n"})
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.callers+"/services/shop/orders", strings.NewReader(strings.Repeat("a", bodyBytes)))
+	c.Assert(err, qt.IsNil)
+	req.Header.Set("Authorization", "Bearer "+teamKey)
+	req.Header.Set("Idempotency-Key", "key")
+	resp, err := n.client.Do(req)
+	c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	n.stop()
+	time.Sleep(pause)
+	body, err := io.ReadAll(resp.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(body) > bodyBytes, qt.IsTrue, qt.Commentf("%d bytes", len(body)))
+}
--- a/io/inbound/limits.go
+++ b/io/inbound/limits.go
@@ -64,6 +64,9 @@
 	return l.table.Counts()
 }
 
+// CloseReceiving closes all connections whose requests haven't arrived wholly.
+func (l *Limits) CloseReceiving() { l.table.CloseReceiving(time.Now()) }
+
 // Tracker follows what one connection is used for. A nil Tracker follows nothing.
 type Tracker struct {
 	conn   *connections.Conn
--- a/io/inbound/server.go
+++ b/io/inbound/server.go
@@ -82,6 +82,9 @@
 	return s.limits.Counts()
 }
 
+// CloseReceiving ends all requests that haven't arrived wholly.
+func (s *Server) CloseReceiving() { s.limits.CloseReceiving() }
+
 // connKey is the key of a connection in the context of its requests.
 type connKey struct{}
 
