serve: one count of open requests

Open requests were counted twice, in an atomic counter and by team. The sum of the second is the first; the stop, the dump and the metric read that. No change of behaviour; the tests of ./entry about stops pass.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -35,7 +35,7 @@
 
 // drain refuses new requests, waits for the open ones and their answers, and settles bills and budgets.
 func (vm *VM) drain(ctx context.Context, servers []*httpServer) {
-	vm.events.Event(event.ProcessDraining, apexlog.Fields{"open": vm.openRequests.Load()})
+	vm.events.Event(event.ProcessDraining, apexlog.Fields{"open": vm.openRequests()})
 	vm.draining.Store(true)
 	vm.peers.announceLeaving(ctx)
 	sleep(ctx, loadBalancerDelay)
@@ -50,12 +50,12 @@
 		}
 	}
 	if !vm.awaitCallers(ctx, callers, deadline) {
-		if n := vm.openRequests.Load(); n > 0 {
+		if n := vm.openRequests(); n > 0 {
 			vm.events.Event(event.DrainTimedOut, apexlog.Fields{"open": n})
 		}
 		vm.giveUp()
 		endAll(ctx, callers, callerCloseTimeout)
-		vm.awaitRequests(ctx, vm.cfg.Now().Add(closeTimeout), vm.openRequests.Load)
+		vm.awaitRequests(ctx, vm.cfg.Now().Add(closeTimeout), vm.openRequests)
 	}
 	vm.settle(ctx)
 	endAll(ctx, others, innerCloseTimeout)
@@ -65,11 +65,11 @@
 // whether it is so. Requests whose bodies are still arriving, and answers that are being written, have answerWait.
 func (vm *VM) awaitCallers(ctx context.Context, callers []*httpServer, deadline time.Time) bool {
 	for vm.cfg.Now().Before(deadline) {
-		vm.awaitRequests(ctx, deadline, func() int64 { return vm.openRequests.Load() + vm.orders.runningAttempts.Load() })
+		vm.awaitRequests(ctx, deadline, func() int64 { return vm.openRequests() + vm.orders.runningAttempts.Load() })
 		if shutDown(ctx, callers, min(answerWait, deadline.Sub(vm.cfg.Now()))) {
 			return true
 		}
-		if vm.openRequests.Load() == 0 {
+		if vm.openRequests() == 0 {
 			return false
 		}
 	}
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -56,7 +56,7 @@
 	now := vm.cfg.Now()
 	d := Dump{
 		Author: vm.cfg.Author, Domain: vm.cfg.Domain, Slot: vm.cfg.Slot, Time: now, Started: vm.cfg.Started, Ready: "ready",
-		OpenRequests: vm.openRequests.Load(), HeldBytes: vm.memory.Held(), PeakHeldBytes: vm.memory.Peak(),
+		OpenRequests: vm.openRequests(), HeldBytes: vm.memory.Held(), PeakHeldBytes: vm.memory.Peak(),
 		MaxHeldBytes: vm.memory.Limit(), PendingBills: vm.bills.pending(), HeldBills: vm.bills.replicaLines(),
 		ConfigVersion: vm.configs.active().version, Members: vm.peers.dump(now), Changes: vm.changes.dump(),
 		Servers: vm.servers.dump(now), Suspects: vm.quarantine.dump(), Budgets: vm.budget.dump(now),
--- a/entry/open.go
+++ b/entry/open.go
@@ -26,15 +26,20 @@
 		return nil, refusal.New(refusal.Overloaded, "this entry VM has many open requests, and the team has its share of them").
 			WithRetryAt(vm.cfg.Now().Add(openRetryDelay))
 	}
-	vm.openRequests.Add(1)
 	return func() {
-		vm.openRequests.Add(-1)
 		vm.openMu.Lock()
 		defer vm.openMu.Unlock()
 		vm.open.End(team)
 	}, nil
 }
 
+// openRequests counts the open requests.
+func (vm *VM) openRequests() int64 {
+	vm.openMu.Lock()
+	defer vm.openMu.Unlock()
+	return int64(vm.open.Total())
+}
+
 // refuseFull refuses a request because of what the open ones hold.
 func (vm *VM) refuseFull() *refusal.Error {
 	vm.closeStalled()
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -115,7 +115,6 @@
 	completions  handler
 	callerServer *openai.Server
 
-	openRequests atomic.Int64
 	// open shares the requests that may be open among the teams; openMu guards it.
 	openMu sync.Mutex
 	open   *overload.OpenCalls
@@ -178,7 +177,7 @@
 func (vm *VM) buildCallerServer() error {
 	metrics, err := prometheus.New(prometheus.Gauges{
 		HeldBytes:         vm.memory.Held,
-		OpenRequests:      vm.openRequests.Load,
+		OpenRequests:      vm.openRequests,
 		PendingBills:      vm.bills.pending,
 		CallerConnections: func() connections.Counts { return vm.callerHTTP.Load().Counts() }, WideBufferBytes: vm.wideBuffers.Bytes,
 		LivePeers: func() int64 { return vm.peers.liveCount(vm.cfg.Now()) },
