serve: orders that are remembered have a bound

What callers saw: nothing yet; orders with keys of their own are remembered for 24 h, and a client that sends ever new ones fills the memory of every entry VM (302 bytes each, docs/orders.md).

Cause: core/order forgets by age only. A bound in the fold would have to forget an order that may come again, which then runs twice.

Failed before: TestOrdersAreRememberedWithoutBound, with the check left out, got 200 for the order beyond the bound.

Why it works: an entry VM refuses a new order beyond [memory] maxOrders with 503, not run or, as all orders with a key, unknown; what is remembered stays, and its repeats are answered.

--- a/cmd/ibiswinch/serve.go
+++ b/cmd/ibiswinch/serve.go
@@ -102,6 +102,7 @@
 		Events:          events,
 		MaxHeldBytes:    int64(s.Memory.MaxHeldBytes),
 		MaxStreams:      min(int(s.Memory.MaxStreams), maxStreamsForOpenFiles()),
+		MaxOrders:       int(s.Memory.MaxOrders),
 		SnapshotEntries: s.Platform.SnapshotEntries,
 		ListInterval:    s.Platform.ListInterval,
 		DrainTimeout:    s.Timings.DrainTimeout,
--- a/core/order/attempt.go
+++ b/core/order/attempt.go
@@ -45,6 +45,8 @@
 	AnswerNotRun
 	// AnswerConflict is like AnswerNotRun, for an order whose idempotency key is in use for a different order.
 	AnswerConflict
+	// AnswerNoRoom says that no more orders may be remembered, so that this request didn't run the order. Another may have.
+	AnswerNoRoom
 )
 
 // Answer is what the caller is told.
--- a/core/order/registry.go
+++ b/core/order/registry.go
@@ -85,6 +85,9 @@
 // Len counts the orders in the registry.
 func (g *Registry) Len() int { return len(g.orders) }
 
+// Remembers reports whether an order is in the registry.
+func (g *Registry) Remembers(id ID) bool { return g.orders[id] != nil }
+
 // Status is the state of one order as returned by Lookup.
 type Status struct {
 	State       State
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -27,6 +27,7 @@
 	operatorToken   = "demo-operator-token-0001"
 	maxHeldBytes    = 64 << 20
 	maxStreams      = 5000
+	maxOrders       = 100_000
 	listInterval    = time.Second
 	drainTimeout    = 10 * time.Second
 	snapshotEntries = 200
@@ -112,7 +113,7 @@
 	v.vm, err = entry.New(entry.Config{
 		Author: v.author, Started: time.Now(), Domain: domain, Slot: slot, PeerAddr: v.peerAddress, PeerToken: peerToken, OperatorToken: operatorToken,
 		DialPeer: v.link.dial, Platform: &platformLink{link: v.link, client: v.client}, Now: time.Now, Events: events,
-		MaxHeldBytes: maxHeldBytes, MaxStreams: maxStreams, SnapshotEntries: snapshotEntries, ListInterval: listInterval,
+		MaxHeldBytes: maxHeldBytes, MaxStreams: maxStreams, MaxOrders: maxOrders, SnapshotEntries: snapshotEntries, ListInterval: listInterval,
 		DrainTimeout: drainTimeout,
 	})
 	if err != nil {
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -70,6 +70,8 @@
 	engineTokens uint64
 	// queueTimeout is how long requests wait for capacity; 0 means the default.
 	queueTimeout time.Duration
+	// maxOrders bounds the orders that are remembered; 0 means 1,000,000.
+	maxOrders int
 	// drainTimeout is how long a planned stop waits for open requests; 0 means 5 s.
 	drainTimeout time.Duration
 	// rules are appended to the rules.
@@ -162,6 +164,9 @@
 	if cfg.maxHeld == 0 {
 		cfg.maxHeld = 1 << 30
 	}
+	if cfg.maxOrders == 0 {
+		cfg.maxOrders = 1_000_000
+	}
 	if cfg.drainTimeout == 0 {
 		cfg.drainTimeout = 5 * time.Second
 	}
@@ -169,7 +174,7 @@
 		Author: record.Author{VM: "a1", Incarnation: "1"}, Started: time.Now(), Domain: "east-1",
 		PeerAddr: netip.MustParseAddrPort(l.Peers.Addr().String()), PeerToken: "peer-token-000001", OperatorToken: "operator-token-01",
 		Platform: platform.NewClient(platform.Config{Address: netip.MustParseAddrPort(logAddr)}),
-		Now:      time.Now, Events: events, MaxHeldBytes: cfg.maxHeld, MaxStreams: 100_000, SnapshotEntries: 5000,
+		Now:      time.Now, Events: events, MaxHeldBytes: cfg.maxHeld, MaxStreams: 100_000, MaxOrders: cfg.maxOrders, SnapshotEntries: 5000,
 		ListInterval: time.Second, DrainTimeout: cfg.drainTimeout,
 	})
 	qt.Assert(n.tb, err, qt.IsNil)
--- a/entry/open.go
+++ b/entry/open.go
@@ -13,10 +13,9 @@
 
 // beginRequest counts an open request of a team and returns how to end it. It refuses one that is too many.
 func (vm *VM) beginRequest(team string) (end func(), err error) {
-	hasOthers := len(vm.configs.active().config.Rules.Teams) > 1
 	vm.openMu.Lock()
 	isFull := vm.open.Total() >= vm.cfg.MaxStreams
-	begun := !isFull && vm.open.Begin(team, hasOthers)
+	begun := !isFull && vm.open.Begin(team, vm.hasManyTeams())
 	vm.openMu.Unlock()
 	switch {
 	case isFull:
@@ -40,6 +39,9 @@
 	return int64(vm.open.Total())
 }
 
+// hasManyTeams reports whether the rules have more than one team.
+func (vm *VM) hasManyTeams() bool { return len(vm.configs.active().config.Rules.Teams) > 1 }
+
 // refuseFull refuses a request because of what the open ones hold.
 func (vm *VM) refuseFull() *refusal.Error {
 	vm.closeStalled()
--- a/entry/order.go
+++ b/entry/order.go
@@ -17,6 +17,9 @@
 	"ibiswinch/io/service"
 )
 
+// noRoomRetryAfter is the Retry-After of an order for which there is no room. Others are forgotten a day after they have run.
+const noRoomRetryAfter = time.Minute
+
 // withdrawalGrace is the time after the deadline of an order for its withdrawal to be read back from the log.
 const withdrawalGrace = 3 * time.Second
 
@@ -32,8 +35,9 @@
 	cfg    Config
 	events *apexlog.Logger
 	worker *stream.Worker
-	// registry is guarded by the lock of the worker.
+	// registry and room are guarded by the lock of the worker.
 	registry *order.Registry
+	room     *order.Room
 	base     context.Context
 	// givenUp ends when a planned stop gives up open requests.
 	givenUp context.Context
@@ -44,7 +48,7 @@
 }
 
 func newOrderController(cfg Config, givenUp context.Context, events *apexlog.Logger) *orderController {
-	return &orderController{cfg: cfg, givenUp: givenUp, events: events, registry: order.NewRegistry(), started: make(chan struct{})}
+	return &orderController{cfg: cfg, givenUp: givenUp, events: events, registry: order.NewRegistry(), room: order.NewRoom(cfg.MaxOrders), started: make(chan struct{})}
 }
 
 // loop sets the context of the attempts, and waits for them when ctx ends.
@@ -56,10 +60,13 @@
 	return ctx.Err()
 }
 
-// run executes an order and returns the answer for the caller. The attempt goes on in the background after that, since
-// its result must be recorded.
-func (o *orderController) run(request order.Request, dispatch dispatchFunc) order.Answer {
+// run executes an order of a team and returns the answer for the caller. The attempt goes on in the background after that, since
+// its result must be recorded. hasOthers is set if there are other teams.
+func (o *orderController) run(team string, hasOthers bool, request order.Request, dispatch dispatchFunc) order.Answer {
 	<-o.started
+	if !o.hasRoom(team, hasOthers, request.Order) {
+		return order.Answer{Kind: order.AnswerNoRoom}
+	}
 	run := &orderRun{
 		controller: o, attempt: order.NewAttempt(o.cfg.Author, request), request: request, dispatch: dispatch,
 		answer: make(chan order.Answer, 1), dispatched: make(chan dispatchResult, 1),
@@ -77,6 +84,20 @@
 	}
 }
 
+// hasRoom reports whether an order is remembered already or may be, and counts it in the second case.
+func (o *orderController) hasRoom(team string, hasOthers bool, id order.ID) (ok bool) {
+	o.worker.WithLock(func() {
+		ok = o.registry.Remembers(id) || o.room.Add(o.cfg.Now(), team, o.registry.Len(), hasOthers)
+	})
+	return ok
+}
+
+// remembered counts the orders that are remembered.
+func (o *orderController) remembered() (n int64) {
+	o.worker.WithLock(func() { n = int64(o.registry.Len()) })
+	return n
+}
+
 type dispatchResult struct {
 	result order.Result
 	err    error
@@ -211,6 +232,8 @@
 			WithRetryAt(now.Add(time.Second))
 	case order.AnswerConflict:
 		return refusal.New(refusal.IdempotencyKeyConflict, "the idempotency key belongs to another order; this one did not run")
+	case order.AnswerNoRoom:
+		return refusal.New(refusal.Overloaded, "too many orders are remembered, or too many of the team").WithRetryAt(now.Add(noRoomRetryAfter))
 	case order.AnswerUnknown:
 		return refusal.New(refusal.OrderPending, "the outcome of the order is not known; ask again with the same key").
 			WithExecution(refusal.Unknown).WithRetryAt(now.Add(time.Second))
--- a/entry/service.go
+++ b/entry/service.go
@@ -145,7 +145,7 @@
 		Deadline:    now.Add(c.service.Timeout),
 		AnswerBy:    now.Add(c.service.Timeout + withdrawalGrace),
 	}
-	answer := c.vm.orders.run(request, c.dispatch)
+	answer := c.vm.orders.run(team.Name, c.vm.hasManyTeams(), request, c.dispatch)
 	if refused := orderRefusal(answer, c.vm.cfg.Now()); refused != nil {
 		return nil, refused
 	}
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -103,3 +104,20 @@
 		c.Assert(a.status, qt.Equals, http.StatusOK, qt.Commentf("call %d: %s", i, a.body))
 	}
 }
+
+// TestOrdersAreRememberedWithoutBound guards against orders of ever new keys that fill the memory, and against a bound that refuses the
+// repeat of a remembered order or promises that a refused one hasn't run.
+func TestOrdersAreRememberedWithoutBound(t *testing.T) {
+	const maxOrders = 3
+	c := qt.New(t)
+	n := startVM(t, testVMConfig{services: 1, maxOrders: maxOrders, rules: "[service \"shop\"]\nnotIdempotent = POST /orders\n"})
+	for i := range maxOrders {
+		a := n.call(http.MethodPost, "/orders", fmt.Sprint("key", i))
+		c.Assert(a.status, qt.Equals, http.StatusOK, qt.Commentf("%s", a.body))
+	}
+	a := n.call(http.MethodPost, "/orders", "another")
+	c.Assert(a.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", a.body))
+	c.Assert(a.execution, qt.Equals, refusal.Unknown)
+	c.Assert(n.call(http.MethodPost, "/orders", "key0").status, qt.Equals, http.StatusOK)
+	c.Assert(n.services[0].Stats().Orders, qt.Equals, uint64(maxOrders))
+}
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -68,6 +68,7 @@
 
 	MaxHeldBytes    int64
 	MaxStreams      int
+	MaxOrders       int
 	SnapshotEntries uint64
 	ListInterval    time.Duration
 	DrainTimeout    time.Duration
@@ -176,9 +177,9 @@
 
 func (vm *VM) buildCallerServer() error {
 	metrics, err := prometheus.New(prometheus.Gauges{
-		HeldBytes:         vm.memory.Held,
-		OpenRequests:      vm.openRequests,
-		PendingBills:      vm.bills.pending,
+		HeldBytes:    vm.memory.Held,
+		OpenRequests: vm.openRequests,
+		PendingBills: vm.bills.pending, RememberedOrders: vm.orders.remembered,
 		CallerConnections: func() connections.Counts { return vm.callerHTTP.Load().Counts() }, WideBufferBytes: vm.wideBuffers.Bytes,
 		LivePeers: func() int64 { return vm.peers.liveCount(vm.cfg.Now()) },
 	})
--- a/io/prometheus/metrics.go
+++ b/io/prometheus/metrics.go
@@ -34,6 +34,8 @@
 	OpenRequests func() int64
 	PendingBills func() int64
 	LivePeers    func() int64
+	// RememberedOrders is the number of orders that are remembered.
+	RememberedOrders func() int64
 	// FreeTokens is the number of tokens that this entry VM may admit now, over all teams.
 	FreeTokens func() int64
 	// DroppedLines is the number of log lines dropped since the start.
@@ -104,6 +106,7 @@
 		{"open_requests", gauges.OpenRequests},
 		{"pending_bills", gauges.PendingBills},
 		{"live_peers", gauges.LivePeers},
+		{"remembered_orders", gauges.RememberedOrders},
 		{"free_tokens", gauges.FreeTokens},
 		{"log_lines_dropped", gauges.DroppedLines},
 		{"evacuated_domains", gauges.EvacuatedDomains},
