--- a/cmd/ibiswinch/hostile_serve_lasting_test.go
+++ b/cmd/ibiswinch/hostile_serve_lasting_test.go
@@ -26,6 +26,15 @@
 	return out
 }
 
+// withTLS returns doors that speak TLS.
+func withTLS(doors []hostileDoor) []hostileDoor {
+	secure := append([]hostileDoor(nil), doors...)
+	for i := range secure {
+		secure[i].isSecure = true
+	}
+	return secure
+}
+
 // TestHostileServeStreams guards against streams that are read slowly, or not at all, and keep other callers out.
 func TestHostileServeStreams(t *testing.T) {
 	target, doors, _ := startHostileServeWith(t, withLongStreams)
@@ -79,15 +88,44 @@
 		withLongStreams(f)
 		f.callerTLSLines = "tlsCertFile = " + cert + "\ntlsKeyFile = " + key + "\n"
 	})
-	secure := append([]hostileDoor(nil), callers...)
-	for i := range secure {
-		secure[i].isSecure = true
-	}
-	crowds := append(hostileServeCrowds(secure), hostileCrowd{size: serveCrowdSize, doors: callers, play: playNothing},
+	crowds := append(hostileServeCrowds(withTLS(callers)), hostileCrowd{size: serveCrowdSize, doors: callers, play: playNothing},
 		hostileCrowd{size: serveCrowdSize, doors: callers, play: playHalfHandshake})
 	target.servesBeside(t, crowds...)
 }
 
+// TestHostileServeInnerTLS guards against crowds at listeners with TLS for peers and operators that take the memory or the descriptors of
+// the callers.
+func TestHostileServeInnerTLS(t *testing.T) {
+	c := qt.New(t)
+	cert, key := writeCertificate(c, t.TempDir())
+	target, _, others := startHostileServeWith(t, func(f *fleet) {
+		f.operatorTLSLines = "tlsCertFile = " + cert + "\ntlsKeyFile = " + key + "\n"
+		f.peerTLSLines = f.operatorTLSLines + "tlsCAFile = " + cert + "\n"
+	})
+	crowds := append(hostileServeCrowds(withTLS(others)), hostileCrowd{size: serveConnections, doors: others, play: playNothing},
+		hostileCrowd{size: serveCrowdSize, doors: others, play: playHalfHandshake})
+	target.servesBeside(t, crowds...)
+}
+
+// TestHostileServeChanges guards against changes of the rules that a process doesn't survive beside crowds, or that keep the ordinary
+// callers out.
+func TestHostileServeChanges(t *testing.T) {
+	var f *fleet
+	target, callers, others := startHostileServeWith(t, func(started *fleet) { withLongStreams(started); f = started })
+	ask, asked, version := target.ask, 0, 1
+	target.ask = func() (string, error) {
+		if asked++; asked%serveAsksPerChange == 0 {
+			f.limitsSection = fmt.Sprintf("%s[limits]\nmaxRequest = %dKiB\n", hostileServeRules, serveBody>>10>>(version%3))
+			out, err := f.publish(version)
+			f.c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+			version++
+		}
+		return ask()
+	}
+	target.servesBeside(t, hostileServeCrowds(append(callers, others...))...)
+	t.Logf("%d changes", version)
+}
+
 // TestHostileServeStop guards against a planned stop that doesn't end in time beside crowds.
 func TestHostileServeStop(t *testing.T) {
 	target, callers, others := startHostileServeWith(t, func(f *fleet) {
--- a/cmd/ibiswinch/hostile_serve_test.go
+++ b/cmd/ibiswinch/hostile_serve_test.go
@@ -28,6 +28,8 @@
 	// serveConnections is the size of a crowd that fills the descriptors, serveCrowdSize that of one that fills the memory.
 	serveConnections = 1300
 	serveCrowdSize   = 150
+	// serveAsksPerChange is the number of ordinary requests between two changes of the rules.
+	serveAsksPerChange = 20
 	// serveOutputTokens is the longest output, more than all buffers on its way to a caller hold.
 	serveOutputTokens = 20_000
 	// hostileServeRules go on with the plain service, whose pages any caller may ask for again, and have a team that the ordinary callers
