http1: the use of a connection by one request stands once

io/internal/roundtrip and platform each had a connection that counts its requests and the bytes written, a record of which request has it, and the close that waits for the transport.

--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -79,9 +79,9 @@
 	return w.failed
 }
 
-// CheckEnd has the body of an answer that ends with its connection fail with ErrReset if the connection may have been reset. w
+// checkEnd has the body of an answer that ends with its connection fail with ErrReset if the connection may have been reset. w
 // tracks the writes to that connection.
-func CheckEnd(resp *http.Response, w *Writes) {
+func checkEnd(resp *http.Response, w *Writes) {
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		resp.Body = &connectionBody{ReadCloser: resp.Body, writes: w}
 	}
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -13,7 +13,7 @@
 // readAnswer reads an answer that ends with its connection.
 func readAnswer(w *Writes) error {
 	resp := &http.Response{ContentLength: -1, Body: io.NopCloser(strings.NewReader("part"))}
-	CheckEnd(resp, w)
+	checkEnd(resp, w)
 	_, err := io.ReadAll(resp.Body)
 	return err
 }
--- a/io/internal/roundtrip/roundtrip.go
+++ b/io/internal/roundtrip/roundtrip.go
@@ -57,7 +57,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: conn, closed: make(chan struct{})}, nil
+			return http1.NewConn(conn), nil
 		},
 		MaxConnsPerHost:     o.MaxConns,
 		MaxIdleConns:        0,
@@ -90,12 +90,10 @@
 	}
 	if err := http1.CheckStatus(resp.StatusCode); err != nil {
 		_ = resp.Body.Close()
-		use.closeUnlessReused()
+		use.CloseUnlessReused()
 		return nil, true, err
 	}
-	if conn, _ := use.current(); conn != nil {
-		http1.CheckEnd(resp, &conn.writes)
-	}
+	use.CheckEnd(resp)
 	if isRefusal(resp.StatusCode) {
 		resp.Body = refusalBody{ReadCloser: resp.Body, use: use}
 	}
