crash: a quarantine ends by a test, not for all at once

Cause: core/crash let everything pass once the time was over, however often the request had been refused meanwhile.

Why it works: after its time a quarantine goes on until an answer clears it. In each 5 s one entry VM, chosen among those that live by the turn, sends one request with the subject. An answer ends the quarantine everywhere, a crash begins the next, longer one. Without either it ends when its crashes are 30 minutes old.

--- a/core/crash/evidence.go
+++ b/core/crash/evidence.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -22,6 +23,9 @@
 	// quarantineTime is how long they are refused. It doubles with each further crash, maxDoublings times at most.
 	quarantineTime = time.Minute
 	maxDoublings   = 4
+	// testInterval is the time in which one entry VM may send one request with a subject whose quarantine is over, until a subject is
+	// cleared or has crashed another server.
+	testInterval = 5 * time.Second
 	// retention is how long incidents and clearances are kept.
 	retention = 30 * time.Minute
 	// maxIncidents bounds the incidents and the clearances that are kept; the oldest ones are dropped.
@@ -39,11 +43,13 @@
 	count     int
 	// cleared holds the incidents that don't count, by the time at which they were cleared.
 	cleared map[Incident]time.Time
+	// tested has the last turn in which a request with a subject was sent after its quarantine.
+	tested map[Subject]int64
 }
 
 // NewEvidence returns an Evidence without crashes.
 func NewEvidence() *Evidence {
-	return &Evidence{incidents: map[Subject]map[string]interval{}, cleared: map[Incident]time.Time{}}
+	return &Evidence{incidents: map[Subject]map[string]interval{}, cleared: map[Incident]time.Time{}, tested: map[Subject]int64{}}
 }
 
 // IsEmpty reports whether there are no incidents.
@@ -124,6 +130,7 @@
 	delete(servers, i.Server)
 	if len(servers) == 0 {
 		delete(e.incidents, i.Subject)
+		delete(e.tested, i.Subject)
 	}
 }
 
@@ -201,27 +208,46 @@
 	Subject Subject `json:"subject"`
 	// Crashes is the number of servers that were lost with the subject in flight. Successive is the number of those
 	// crashes of which each followed a request that was sent after the crash before.
-	Crashes    int       `json:"crashes"`
-	Successive int       `json:"successive"`
-	Until      time.Time `json:"until"`
+	Crashes    int `json:"crashes"`
+	Successive int `json:"successive"`
+	// Until is when requests with the subject may be tested, one at a time. The next one that is answered ends the quarantine.
+	Until time.Time `json:"until"`
 }
 
-// Check reports whether a request with these subjects is to be refused, and why.
-func (e *Evidence) Check(now time.Time, subjects []Subject) (Quarantine, bool) {
+// Check reports whether a request with these subjects is to be refused, and why. isChosen reports whether this entry VM is the one, of
+// those that live, that is chosen by a key.
+func (e *Evidence) Check(now time.Time, subjects []Subject, isChosen func(key string) bool) (Quarantine, bool) {
+	turn := now.UnixNano() / int64(testInterval)
+	var expired []Quarantine
 	for _, s := range subjects {
-		q, found := e.quarantine(s)
-		if found && now.Before(q.Until) && !e.mayBeInnocent(s, subjects) {
+		q, found := e.quarantine(now, s)
+		switch {
+		case !found || e.mayBeInnocent(s, subjects):
+		case now.Before(q.Until):
 			return q, true
+		default:
+			expired = append(expired, q)
 		}
 	}
+	if len(expired) == 0 {
+		return Quarantine{}, false
+	}
+	wasTested := slices.ContainsFunc(expired, func(q Quarantine) bool { return e.tested[q.Subject] == turn })
+	if wasTested || !isChosen("crash test "+strconv.FormatInt(turn, 10)) {
+		expired[0].Until = time.Unix(0, (turn+1)*int64(testInterval))
+		return expired[0], true
+	}
+	for _, q := range expired {
+		e.tested[q.Subject] = turn
+	}
 	return Quarantine{}, false
 }
 
-// Quarantines returns the quarantines in force, in no particular order.
+// Quarantines returns all quarantines, in no particular order.
 func (e *Evidence) Quarantines(now time.Time) []Quarantine {
 	var all []Quarantine
 	for s := range e.incidents {
-		if q, found := e.quarantine(s); found && now.Before(q.Until) {
+		if q, found := e.quarantine(now, s); found {
 			all = append(all, q)
 		}
 	}
@@ -229,13 +255,13 @@
 }
 
 // quarantine returns the quarantine of a subject by itself.
-func (e *Evidence) quarantine(s Subject) (Quarantine, bool) {
+func (e *Evidence) quarantine(now time.Time, s Subject) (Quarantine, bool) {
 	servers := e.incidents[s]
 	if len(servers) < crashLimit {
 		return Quarantine{}, false
 	}
 	successive, last := countSuccessive(slices.Collect(maps.Values(servers)))
-	if successive < crashLimit {
+	if successive < crashLimit || last.Before(now.Add(-retention)) {
 		return Quarantine{}, false
 	}
 	duration := quarantineTime << min(successive-crashLimit, maxDoublings)
--- a/core/crash/evidence_test.go
+++ b/core/crash/evidence_test.go
@@ -49,10 +49,12 @@
 }
 
 func refuses(e *crash.Evidence, subjects ...crash.Subject) bool {
-	_, refused := e.Check(at(10), subjects)
+	_, refused := e.Check(at(10), subjects, chosen)
 	return refused
 }
 
+func chosen(string) bool { return true }
+
 // TestSimultaneousCrashesBlameNobody guards against refusing what was in flight everywhere when many servers crash at
 // the same time.
 func TestSimultaneousCrashesBlameNobody(t *testing.T) {
@@ -125,16 +127,52 @@
 	c := qt.New(t)
 	e := crash.NewEvidence()
 	addSuccessive(e, 3, deadly)
-	first, refused := e.Check(at(10), []crash.Subject{deadly})
+	first, refused := e.Check(at(10), []crash.Subject{deadly}, chosen)
 	c.Assert(refused, qt.IsTrue)
-	_, refused = e.Check(first.Until, []crash.Subject{deadly})
+	_, refused = e.Check(first.Until, []crash.Subject{deadly}, chosen)
 	c.Assert(refused, qt.IsFalse)
 	e.Add(report(deadly, 9, 100, 101))
-	second, refused := e.Check(at(102), []crash.Subject{deadly})
+	second, refused := e.Check(at(102), []crash.Subject{deadly}, chosen)
 	c.Assert(refused, qt.IsTrue)
 	c.Assert(second.Until.Sub(at(101)) > first.Until.Sub(at(2.5)), qt.IsTrue)
 }
 
+// TestManyPassAfterQuarantine guards against a quarantine whose end lets all waiting requests through at once, or at several entry VMs,
+// and against one that an answer doesn't end everywhere.
+func TestManyPassAfterQuarantine(t *testing.T) {
+	c := qt.New(t)
+	const vms, turns = 3, 12
+	all := make([]*crash.Evidence, vms)
+	for i := range all {
+		all[i] = crash.NewEvidence()
+		addSuccessive(all[i], 3, deadly, session)
+	}
+	passed := func(from, to int) (n int) {
+		for tenths := 10 * from; tenths < 10*to; tenths++ {
+			now := float64(tenths) / 10
+			for i, e := range all {
+				isChosen := func(key string) bool { return int(key[len(key)-1])%vms == i }
+				if q, refused := e.Check(at(now), []crash.Subject{deadly, session, "request:1"}, isChosen); !refused {
+					n++
+				} else {
+					c.Assert(q.Until.After(at(now)), qt.IsTrue)
+				}
+			}
+		}
+		return n
+	}
+	c.Assert(passed(10, 60), qt.Equals, 0)
+	c.Assert(passed(65, 65+5*turns), qt.Equals, turns)
+	for _, e := range all {
+		e.Add(report(deadly, 9, 125.1, 125.2))
+	}
+	c.Assert(passed(126, 126+115), qt.Equals, 0)
+	for _, e := range all {
+		e.Answered(at(250), []crash.Subject{deadly, session})
+	}
+	c.Assert(passed(250, 251), qt.Equals, 10*vms)
+}
+
 // TestIncidentsArePiledUp guards against memory that grows with the number of crashes.
 func TestIncidentsArePiledUp(t *testing.T) {
 	c := qt.New(t)
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -35,8 +35,9 @@
 type suspectController struct {
 	cfg    Config
 	follow follower
-	// timeOfDay is the fleet's time.
+	// timeOfDay is the fleet's time. isChosen reports whether this entry VM is the first of those that live by a key.
 	timeOfDay func() time.Time
+	isChosen  func(key string) bool
 	// publishSoon is signalled when there is something to tell the others.
 	publishSoon chan struct{}
 
@@ -55,7 +56,7 @@
 
 func newSuspectController(cfg Config, fleet *fleetController) *suspectController {
 	s := &suspectController{
-		cfg: cfg, timeOfDay: fleet.timeOfDay, publishSoon: make(chan struct{}, 1), evidence: crash.NewEvidence(),
+		cfg: cfg, timeOfDay: fleet.timeOfDay, isChosen: func(key string) bool { return fleet.isFirst(key, "") }, publishSoon: make(chan struct{}, 1), evidence: crash.NewEvidence(),
 		published: map[crash.Incident]bool{}, quarantined: map[crash.Subject]bool{},
 	}
 	s.follow = follower{
@@ -271,5 +272,5 @@
 	if len(s.quarantined) == 0 {
 		return crash.Quarantine{}, false
 	}
-	return s.evidence.Check(s.timeOfDay(), crash.Subjects(c))
+	return s.evidence.Check(s.timeOfDay(), crash.Subjects(c), s.isChosen)
 }
