crash: a part of a prompt that crashes servers after their first event is found

Cause: a first event cleared the parts of its prompt, and a crash after it was charged to the request as a whole only, as if a server couldn't crash on a prompt once it writes.

Why it works: for 250 ms after its first event an answer shows nothing about the parts of its prompt. A crash within that time is charged to them, an event after it clears them.

--- a/core/crash/evidence.go
+++ b/core/crash/evidence.go
@@ -26,6 +26,8 @@
 	// testInterval is the time in which one entry VM may send one request with a subject whose quarantine is over, until a subject is
 	// cleared or has crashed another server.
 	testInterval = 5 * time.Second
+	// beginTime is how long after its first event an answer may still break off because its server has crashed on a part of the prompt.
+	beginTime = 250 * time.Millisecond
 	// retention is how long incidents and clearances are kept.
 	retention = 30 * time.Minute
 	// maxIncidents bounds the incidents and the clearances that are kept; the oldest ones are dropped.
@@ -52,6 +54,10 @@
 	return &Evidence{incidents: map[Subject]map[string]interval{}, cleared: map[Incident]time.Time{}, tested: map[Subject]int64{}}
 }
 
+// HasBegun reports whether an answer whose first event came at firstAt, zero if none has come, shows that no part of its prompt crashes
+// servers.
+func HasBegun(now, firstAt time.Time) bool { return !firstAt.IsZero() && now.Sub(firstAt) >= beginTime }
+
 // IsEmpty reports whether there are no incidents.
 func (e *Evidence) IsEmpty() bool { return e.count == 0 }
 
@@ -94,7 +100,7 @@
 	return b
 }
 
-// Answered clears the subjects of a request that a server has begun to answer. It returns what was cleared.
+// Answered clears the subjects of a request that a server has answered, or has begun to. It returns what was cleared.
 func (e *Evidence) Answered(now time.Time, subjects []Subject) []Clearance {
 	var cleared []Clearance
 	for _, s := range subjects {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -197,7 +197,7 @@
 			x.g.suspects.answered(x.Call)
 		}
 	case result.outcome == placement.Interrupted && !result.notRun:
-		x.g.suspects.recordCrash(x.Call, a.placement.Server, a.startedAt, a.events > 0)
+		x.g.suspects.recordCrash(x.Call, a.placement.Server, a.startedAt, a.firstAt)
 	}
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "ibiswinch/core/placement"
+import (
+	"ibiswinch/core/crash"
+	"ibiswinch/core/placement"
+)
 
 // forwardEvent forwards an event to the caller, which settles where the answer goes on. It returns the error with which the attempt
 // ends, nil if it goes on.
@@ -15,6 +18,9 @@
 	x.keepOnly(a)
 	if first {
 		x.g.servers.firstEvent(&a.placement)
+	}
+	if !a.answerBegun && crash.HasBegun(x.g.cfg.Now(), a.firstAt) {
+		a.answerBegun = true
 		x.g.suspects.answerBegan(x.Call)
 	}
 	if !x.sendHead(u.answer) || x.reply.WriteEvent(u.event.Raw) != nil {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -184,10 +184,10 @@
 }
 
 // recordCrash records that an attempt was interrupted at a server, which may have crashed on the call. The parts of the
-// prompt are not suspected if the answer had begun, since other calls share them.
-func (s *suspectController) recordCrash(c *call.Call, server placement.Server, sentAt time.Time, answerBegun bool) {
+// prompt are not suspected if the answer has gone on for some time since its first event, at firstAt, as other calls share them.
+func (s *suspectController) recordCrash(c *call.Call, server placement.Server, sentAt, firstAt time.Time) {
 	subjects := []crash.Subject{crash.RequestSubject(c)}
-	if !answerBegun {
+	if !crash.HasBegun(s.cfg.Now(), firstAt) {
 		subjects = crash.Subjects(c)
 	}
 	elapsed := s.cfg.Now().Sub(sentAt)
@@ -206,7 +206,7 @@
 	s.updateQuarantines(s.cfg.Name)
 }
 
-// answerBegan records that a server has begun to answer a call: no part of its prompt crashes servers.
+// answerBegan records that a server goes on with the answer to a call: no part of its prompt crashes servers.
 func (s *suspectController) answerBegan(c *call.Call) { s.clear(c, crash.PartSubjects) }
 
 // answered records that a call was answered: nothing in it crashes servers.
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -25,8 +25,9 @@
 	deadlyPart   = 3
 )
 
-// deadlyPartBackend answers all calls except those with deadlyPart, which crash their server.
+// deadlyPartBackend answers all calls except those with deadlyPart, which crash their server, with begins set after a first event.
 type deadlyPartBackend struct {
+	begins  bool
 	mu      sync.Mutex
 	crashes int
 }
@@ -37,6 +38,9 @@
 	if slices.ContainsFunc(a.Call.Parts, func(p call.PromptPart) bool { return p.ID == deadlyPart }) {
 		b.crashes++
 		time.Sleep(crashDelay)
+		if b.begins {
+			return &fakeAnswer{status: 200, stream: true, events: events("1"), end: io.ErrUnexpectedEOF}, nil
+		}
 		return nil, &SendError{Outcome: placement.Interrupted, Err: io.ErrUnexpectedEOF}
 	}
 	return &fakeAnswer{status: 200, stream: true, events: events("1")}, nil
@@ -67,7 +71,14 @@
 // TestPromptPartKeepsCrashingServers guards against requests that crash one server after the other through a part of the
 // prompt that they share, although no two of them are alike.
 func TestPromptPartKeepsCrashingServers(t *testing.T) {
+	for name, begins := range map[string]bool{"without an answer": false, "after a first event": true} {
+		t.Run(name, func(t *testing.T) { testPromptPartKeepsCrashingServers(t, begins) })
+	}
+}
+
+func testPromptPartKeepsCrashingServers(t *testing.T, begins bool) {
 	f, backend := newDeadlyPartFixture(t)
+	backend.begins = begins
 	vms := []*Gateway{f.gateway, f.start("vm-2")}
 	for n := range uint64(20) {
 		before := backend.crashes
@@ -138,7 +149,7 @@
 	cfg := Config{Name: "vm-1", Now: func() time.Time { return now }, Events: apexlog.Discard()}
 	s := newSuspectController(cfg, newFleetController(cfg))
 	call := promptCall(1, sessionPart)
-	s.recordCrash(call, placement.Server{ID: "s-1"}, now, false)
+	s.recordCrash(call, placement.Server{ID: "s-1"}, now, time.Time{})
 	s.ownRecord()
 	s.answered(call)
 	record := s.ownRecord()
