crash: parts that crash servers before and after they begin to answer are told apart

Cause: one subject stood for both faults, so that the sign against the second had to clear the first as well.

Why it works: a part has a subject for each. The first event clears the one, an event 250 ms later or the whole answer also the other. Crashes before an answer are charged and cleared as on the untouched code.

--- a/core/crash/report.go
+++ b/core/crash/report.go
@@ -26,18 +26,43 @@
 // RequestSubject returns the subject of the whole request, the same for repeats by its caller.
 func RequestSubject(c *call.Call) Subject { return Subject("request:" + c.Fingerprint()) }
 
-// PartSubjects returns the subjects of the parts of the prompt that other requests may share.
-func PartSubjects(c *call.Call) []Subject {
-	ids := c.SharedPartIDs()
-	subjects := make([]Subject, 0, len(ids)+1)
-	for _, id := range ids {
-		subjects = append(subjects, Subject("part:"+id))
+// A part of the prompt may crash servers before they answer, or once they have begun to. These are two subjects: an answer that begins
+// clears only the first.
+const (
+	partPrefix      = "part:"
+	begunPartPrefix = "begun:"
+)
+
+// PartSubjects returns the subjects of the parts of the prompt that other requests may share, for crashes before an answer.
+func PartSubjects(c *call.Call) []Subject { return appendParts(nil, partPrefix, c) }
+
+// BegunPartSubjects returns the subjects of these parts for crashes soon after the first event of an answer.
+func BegunPartSubjects(c *call.Call) []Subject { return appendParts(nil, begunPartPrefix, c) }
+
+func appendParts(subjects []Subject, prefix string, c *call.Call) []Subject {
+	for _, id := range c.SharedPartIDs() {
+		subjects = append(subjects, Subject(prefix+id))
 	}
 	return subjects
 }
 
 // Subjects returns all subjects of a request.
-func Subjects(c *call.Call) []Subject { return append(PartSubjects(c), RequestSubject(c)) }
+func Subjects(c *call.Call) []Subject {
+	return append(appendParts(PartSubjects(c), begunPartPrefix, c), RequestSubject(c))
+}
+
+// CrashSubjects returns the subjects that are charged with a crash of the server of a request, whose first event came at firstAt, zero
+// if none has come. Other requests share the parts, so they aren't charged once the answer has gone on for some time.
+func CrashSubjects(c *call.Call, now, firstAt time.Time) []Subject {
+	var subjects []Subject
+	switch {
+	case firstAt.IsZero():
+		subjects = PartSubjects(c)
+	case !HasBegun(now, firstAt):
+		subjects = BegunPartSubjects(c)
+	}
+	return append(subjects, RequestSubject(c))
+}
 
 // Incident names a subject and a server that crashed, or may have, with a request of this subject in flight.
 type Incident struct {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -52,8 +52,8 @@
 	// events is the number of events that were forwarded, firstAt and lastAt are the times of the first and the last.
 	events          int64
 	firstAt, lastAt time.Time
-	// answerBegun is set once the answer has cleared the parts of the prompt.
-	answerBegun bool
+	// goesOn is set once the answer has gone on for some time after its first event.
+	goesOn bool
 }
 
 // update is what an attempt sends to its exchange: an event, or the result if that is set.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -18,11 +18,12 @@
 	x.keepOnly(a)
 	if first {
 		x.g.servers.firstEvent(&a.placement)
-	}
-	if !a.answerBegun && crash.HasBegun(x.g.cfg.Now(), a.firstAt) {
-		a.answerBegun = true
 		x.g.suspects.answerBegan(x.Call)
 	}
+	if !a.goesOn && crash.HasBegun(x.g.cfg.Now(), a.firstAt) {
+		a.goesOn = true
+		x.g.suspects.answerGoesOn(x.Call)
+	}
 	if !x.sendHead(u.answer) || x.reply.WriteEvent(u.event.Raw) != nil {
 		return errCallerLost
 	}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -183,13 +183,9 @@
 	return in
 }
 
-// recordCrash records that an attempt was interrupted at a server, which may have crashed on the call. The parts of the
-// prompt are not suspected if the answer has gone on for some time since its first event, at firstAt, as other calls share them.
+// recordCrash records that an attempt, whose first event came at firstAt, was interrupted at a server, which may have crashed on the call.
 func (s *suspectController) recordCrash(c *call.Call, server placement.Server, sentAt, firstAt time.Time) {
-	subjects := []crash.Subject{crash.RequestSubject(c)}
-	if !crash.HasBegun(s.cfg.Now(), firstAt) {
-		subjects = crash.Subjects(c)
-	}
+	subjects := crash.CrashSubjects(c, s.cfg.Now(), firstAt)
 	elapsed := s.cfg.Now().Sub(sentAt)
 	now := s.timeOfDay()
 	s.mu.Lock()
@@ -206,9 +202,12 @@
 	s.updateQuarantines(s.cfg.Name)
 }
 
-// answerBegan records that a server goes on with the answer to a call: no part of its prompt crashes servers.
+// answerBegan records that a server has begun to answer a call: no part of its prompt crashes servers before that.
 func (s *suspectController) answerBegan(c *call.Call) { s.clear(c, crash.PartSubjects) }
 
+// answerGoesOn records that a server goes on with the answer to a call: no part of its prompt crashes servers that have begun.
+func (s *suspectController) answerGoesOn(c *call.Call) { s.clear(c, crash.BegunPartSubjects) }
+
 // answered records that a call was answered: nothing in it crashes servers.
 func (s *suspectController) answered(c *call.Call) { s.clear(c, crash.Subjects) }
 
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -25,9 +25,11 @@
 	deadlyPart   = 3
 )
 
-// deadlyPartBackend answers all calls except those with deadlyPart, which crash their server, with begins set after a first event.
+// deadlyPartBackend answers all calls except those with deadlyPart, which crash their server, with begins set after a first event. The
+// server registers again.
 type deadlyPartBackend struct {
 	begins  bool
+	log     *memoryLog
 	mu      sync.Mutex
 	crashes int
 }
@@ -39,7 +41,9 @@
 		b.crashes++
 		time.Sleep(crashDelay)
 		if b.begins {
-			return &fakeAnswer{status: 200, stream: true, events: events("1"), end: io.ErrUnexpectedEOF}, nil
+			a.Server.Born = time.Now()
+			b.log.put(keyed.Servers, a.Server.ID, a.Server)
+			return &fakeAnswer{status: 200, stream: true, events: events(a.LastEventID + "1"), end: io.ErrUnexpectedEOF}, nil
 		}
 		return nil, &SendError{Outcome: placement.Interrupted, Err: io.ErrUnexpectedEOF}
 	}
@@ -59,6 +63,7 @@
 func newDeadlyPartFixture(t *testing.T) (*fixture, *deadlyPartBackend) {
 	backend := &deadlyPartBackend{}
 	f := newFixtureWith(t, func(cfg *Config) { cfg.Backend = backend })
+	backend.log = f.log
 	const servers = 40
 	for i := range servers {
 		id := fmt.Sprintf("t-%d", i)
