--- a/entry/drain.go
+++ b/entry/drain.go
@@ -12,8 +12,8 @@
 	"ibiswinch/io/apexlog"
 )
 
-// Drain timing. A planned stop takes at most exchangeTimeout, loadBalancerDelay, the drain timeout, callerCloseTimeout, closeTimeout, settleTimeout and
-// innerCloseTimeout, one after the other.
+// Drain timing. A planned stop takes at most exchangeTimeout, loadBalancerDelay, the drain timeout, callerCloseTimeout, closeTimeout,
+// settleTimeout and innerCloseTimeout, one after the other.
 const (
 	// drainPollInterval is how often a stopping process checks whether its requests have ended.
 	drainPollInterval = 20 * time.Millisecond
